First version: adaptive hedging on the simulator's wire

Turns, p90 timer, token bucket, first answer wins with cancel; around it a waiting line behind per-server windows, refusals, partial answers and the guards of the six rules.

--- /dev/null
+++ b/tansycrank/brain.py
@@ -0,0 +1,520 @@
+"""All decisions of a query router; what it hears and does is defined in `tansycrank/interface.py`.
+
+The ordinary path is adaptive hedging of parts: turns, a percentile timer, a token bucket, first answer wins.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Iterable
+
+from ddsketch import DDSketch
+
+from tansycrank import interface as io
+from tansycrank.interface import Effect, ListKind, Outcome, Status
+from tansycrank.state import Attempt, Part, Query, Server
+
+# Figures of the design.
+ROTATE = 30_000.0  # ms a sketch is filled before the pair rotates
+TIMER_QUANTILE = 0.9  # of a server's answers: the hedge timer
+MIN_TIMER = 1.0  # ms
+ENOUGH = 20  # answers in a server's window before its own percentile is believed
+BLIND_TIMER = 1 / 3  # of the aim, before there is any answer at all
+TOKEN_SHARE = 0.10  # copies per part sent, the refill of the bucket
+# Figures of the exceptions.
+FLEET_TIMER = 1.5  # a server's timer is at most so many of the aggregator's p90: a slow server's own p90 is slow too
+SKETCH_REFRESH = 250.0  # ms a merged percentile is kept; merging on every send costs CPU for nothing
+WINDOW_START = 6.0  # parts of ours out at one server; enough for a call of several, little enough for a stranger
+WINDOW_CUT = 0.8  # multiplicative decrease, at most once in a target time
+SLOW_SHARE = 0.25  # of the shortest aim: an answer later than this says that the server's queue is too long
+SLOW_FACTOR = 2.5  # or so many times the aggregator's quick quartile, where the aim is too short for that share
+START_SHARE = 0.3  # of the aim: a query that could not start in this time is turned away while a repeat can still pay
+SPARE_SHARE = 0.3  # of the aim: parts beyond the floor are given up after waiting so long for room
+TRIAL_FIRST, TRIAL_LAST = 1_000.0, 8_000.0  # ms until a silent server is tried again, doubling
+STRAND_TIMERS = 3.0  # timers after which a part at a server that went silent is moved by cancel and retry
+COLD_PART = 0.5  # of what the cold rule allows this router: slack for costly parts and for uneven routers
+HEDGE_LEDGER = 0.6  # of the told budget may go to hedges; the rest is kept for retries after a crash
+HOLD_OFF = 0.15  # of the aim: when a client that was turned away should come back
+ASK_BACKOFF, ASK_BACKOFF_LAST = 200.0, 3_000.0  # ms between calls to discovery after a failure
+RECHECK = 100.0  # ms between looks at a query that is past its aim
+
+
+class LatencyWindow:
+    """Two DDSketches, the older dropped at each rotation, merged when read."""
+
+    def __init__(self) -> None:
+        self.pair = [DDSketch(), DDSketch()]
+        self.turned = self.read_at = float("-inf")
+        self.values: tuple[float, float] = (0.0, 0.0)
+
+    def add(self, now: float, value: float) -> None:
+        """Record an answer."""
+        self._rotate(now)
+        self.pair[0].add(value)
+
+    def count(self, now: float) -> float:
+        """Number of answers in the window."""
+        self._rotate(now)
+        return self.pair[0].count + self.pair[1].count
+
+    def read(self, now: float) -> tuple[float, float]:
+        """The quick quartile and the timer's percentile; zeros before any answer."""
+        if self.count(now) and now - self.read_at >= SKETCH_REFRESH:
+            merged = DDSketch()
+            for sketch in self.pair:
+                merged.merge(sketch)
+            self.values = (merged.get_quantile_value(0.25), merged.get_quantile_value(TIMER_QUANTILE))
+            self.read_at = now
+        return self.values
+
+    def _rotate(self, now: float) -> None:
+        if now - self.turned >= ROTATE:
+            fresh = now - self.turned < 2 * ROTATE
+            self.pair = [DDSketch(), self.pair[0] if fresh else DDSketch()]
+            self.turned = now
+
+
+class Router:
+    """The decisions of one router, without clock or I/O: `step` is called once a round."""
+
+    def __init__(self, settings: io.Settings, seed: int) -> None:
+        self.cfg = settings
+        self.rng = random.Random(seed)
+        self.now = self.began = self.token_at = 0.0
+        self.stepped = False
+        self.actions: list[io.Action] = []
+        self.servers: dict[int, Server] = {}
+        self.queries: dict[int, Query] = {}
+        self.numbers: dict[int, Query] = {}
+        self.out: dict[tuple[int, int], Attempt] = {}
+        self.waiting: list[Part] = []  # parts with no attempt out, oldest query first
+        self.hungry: list[Attempt] = []  # fired timers that want a token
+        self.agenda: list[tuple] = []  # (time, order, function, argument)
+        self.order = 0
+        self.woken_for = float("inf")
+        self.turns: dict[int, int] = {}
+        self.rings: dict[int, list[Server]] = {}
+        self.all = LatencyWindow()
+        self.last_answer = float("-inf")
+        self.parts_sent = 0
+        self.tokens = 1.0
+        self.taken: deque[tuple[float, int]] = deque()  # the ledger of rule 6: requests taken ...
+        self.taken_sum = 0
+        self.extras: deque[float] = deque()  # ... and attempts beyond a first
+        self.longest: dict[int, float] = {}  # by class: the longest time a first try was given
+        self.ask_backoff = ASK_BACKOFF
+        self.shortest_aim = min(cls.aim for cls in settings.classes)
+
+    def step(self, now_ms: float, events: Iterable[io.Event]) -> list[io.Action]:
+        """Hear one round's events and return what to do, in order."""
+        self.now, self.actions = now_ms, []
+        if not self.stepped:
+            self.stepped, self.began, self.token_at = True, now_ms, now_ms
+            if self.cfg.must_ask:
+                self._do(io.Watch(True))
+        hear = {io.AttemptEnded: self._attempt_ended, io.QueryArrived: self._query_arrived,
+                io.PartArrived: self._part_arrived, io.QueryGone: self._query_gone, io.ServerList: self._listed}
+        for event in events:
+            if type(event) is io.Woken:
+                self.woken_for = float("inf")
+            elif type(event) in hear:
+                hear[type(event)](event)
+        while self.agenda and self.agenda[0][0] <= now_ms:
+            _, _, function, argument = heapq.heappop(self.agenda)
+            function(argument)
+        self._send_waiting()
+        self._send_copies()
+        if self.agenda and self.agenda[0][0] < self.woken_for:
+            self.woken_for = self.agenda[0][0]
+            self._do(io.Wake(max(self.woken_for - now_ms, 0.0), 1))
+        return self.actions
+
+    def _do(self, action: io.Action) -> None:
+        self.actions.append(action)
+
+    def _at(self, time: float, function, argument) -> None:
+        self.order += 1
+        heapq.heappush(self.agenda, (time, self.order, function, argument))
+
+    # --- the list of servers -------------------------------------------------
+
+    def _listed(self, event: io.ServerList) -> None:
+        if event.kind is ListKind.FAILED:  # ask again, later each time: discovery has little capacity
+            self._at(self.now + self.ask_backoff, lambda _: self._do(io.Watch(True)), None)
+            self.ask_backoff = min(2 * self.ask_backoff, ASK_BACKOFF_LAST)
+            return
+        if event.kind is not ListKind.CACHED:
+            self.ask_backoff = ASK_BACKOFF
+        if event.kind is not ListKind.CHANGES:
+            named = {entry.server for entry in event.entries}
+            for server in self.servers.values():
+                if server.id not in named:
+                    server.status = Status.GONE
+        for entry in event.entries:
+            server = self.servers.get(entry.server)
+            if server is None or entry.came_up > server.came_up:  # new, or restarted: its old record says nothing
+                fresh = Server(entry.server, entry.cell, entry.zone, entry.status, entry.came_up, WINDOW_START,
+                               LatencyWindow())
+                if server is not None:
+                    fresh.out, fresh.overdue, fresh.sent_at = server.out, server.overdue, server.sent_at
+                    for attempt in self.out.values():
+                        if attempt.server is server:
+                            attempt.server = fresh
+                self.servers[entry.server] = server = fresh
+            server.status, server.cell, server.zone = entry.status, entry.cell, entry.zone
+        self.rings = {}
+
+    def _ring(self, cell: int) -> list[Server]:
+        if cell not in self.rings:
+            near = {(cell + j) % self.cfg.cells for j in range(self.cfg.reach)}
+            self.rings[cell] = sorted((s for s in self.servers.values() if s.cell in near
+                                       and s.status is Status.READY), key=lambda s: s.id)
+        return self.rings[cell]
+
+    def _warmth(self, server: Server) -> float:
+        """The least share of its capacity that a server may have now."""
+        if not server.came_up or not self.cfg.cold_time:
+            return 1.0
+        age = max(self.now - server.came_up, 0.0) / self.cfg.cold_time
+        return min(self.cfg.cold_from + (1 - self.cfg.cold_from) * age, 1.0)
+
+    # --- queries in and out --------------------------------------------------
+
+    def _query_arrived(self, event: io.QueryArrived) -> None:
+        cls = self.cfg.classes[event.query_class]
+        longest = self.longest.get(event.query_class, 0.0)
+        if not event.repeat and event.time_left > longest:
+            self.longest[event.query_class] = longest = event.time_left
+        gone = cls.give_up - event.time_left if event.repeat and event.time_left < longest - 1 else 0.0
+        query = Query(event.query, event.number, cls, self.now, self.now + cls.aim - gone,
+                      self.now + event.time_left - 2 * self.cfg.tick, event.repeat)
+        self.queries[query.id] = self.numbers[query.number] = query
+        self._count_taken(1)
+        for time in (query.born + START_SHARE * cls.aim, query.aim_at - 2 * self.cfg.tick, query.dead_at):
+            self._at(min(time, query.dead_at), self._review, query)
+        if cls.floor < cls.whole_at:
+            self._at(query.born + SPARE_SHARE * cls.aim, self._drop_spare, query)
+            for step in (1, 2):
+                self._at(self._answer_by(query, step), self._review, query)
+
+    def _part_arrived(self, event: io.PartArrived) -> None:
+        query = self.numbers.get(event.number)
+        if query is None:
+            return
+        self._count_taken(1)
+        part = Part(event.part, query, event.shard % self.cfg.cells, event.weight)
+        query.parts.append(part)
+        if query.step == 1 and query.cls.floor < query.cls.whole_at:  # light parts beyond the floor yield under load
+            query.parts.sort(key=lambda p: -p.weight)
+            total = 0.0
+            for one in query.parts:
+                one.spare, total = total > query.cls.floor + 0.05, total + one.weight
+        self.waiting.append(part)
+
+    def _query_gone(self, event: io.QueryGone) -> None:
+        query = self.queries.get(event.query)
+        if query is not None:
+            self._end(query)
+
+    def _end(self, query: Query, action: io.Action | None = None) -> None:
+        query.ended = True
+        del self.queries[query.id]
+        self.numbers.pop(query.number, None)
+        if action is not None:
+            self._do(action)
+        self._release(query)
+
+    def _release(self, query: Query) -> None:
+        """Parts that are no longer needed leave the line, and what is out for them is cancelled."""
+        for part in query.parts:
+            part.dropped = True
+            for attempt in part.attempts:
+                self._cancel(attempt)
+
+    def _cancel(self, attempt: Attempt) -> None:
+        if attempt.outcome is None and not attempt.cancelled and self.cfg.can_cancel:
+            attempt.cancelled = True
+            self._do(io.Cancel(attempt.part.id, attempt.number))
+
+    def _share(self, query: Query) -> float:
+        return sum(part.weight for part in query.parts if part.answered)
+
+    def _answer_by(self, query: Query, step: int) -> float:
+        """When a partial answer goes out: at the aim, with time left for a second step."""
+        second = 1.5 * self.all.read(self.now)[1] if step == 1 and query.cls.follow_up else 0.0
+        return query.aim_at - 3 * self.cfg.tick - second
+
+    def _conclude(self, query: Query, whole: bool) -> None:
+        if query.step == 1 and query.cls.follow_up:
+            self._do(io.Answer(query.id, whole))
+            query.whole_so_far, query.step = whole, 2
+            self._release(query)
+            query.parts = []
+        else:
+            self._end(query, io.Answer(query.id, whole and query.whole_so_far))
+
+    def _give_up(self, query: Query) -> None:
+        """At once, and as a refusal wherever no effect may have happened."""
+        harmless = query.cls.effect is Effect.SAFE or all(
+            attempt.outcome is not None and attempt.outcome.never_ran for part in query.parts
+            for attempt in part.attempts)
+        hold = min(HOLD_OFF * query.cls.aim, self.cfg.hold_off_max) if self.cfg.can_hold_off else 0.0
+        self._end(query, io.Shed(query.id, hold) if harmless else io.Fail(query.id))
+
+    def _review(self, query: Query) -> None:
+        """Answer if it is time, or give up if nothing more can be earned."""
+        if query.ended or not query.parts:
+            if not query.ended and self.now >= query.dead_at:
+                self._give_up(query)
+            return
+        cls, share = query.cls, self._share(query)
+        need = cls.whole_at if query.step == 1 else 1.0
+        if share >= need - 1e-5 and (need < 1 or all(part.answered for part in query.parts)):
+            return self._conclude(query, True)
+        open_parts = [p for p in query.parts if not p.answered and not p.dropped]
+        reachable = share + sum(p.weight for p in open_parts)
+        floor = cls.floor if cls.floor < cls.whole_at else need
+        if floor < need and share >= floor and (not open_parts or self.now >= self._answer_by(query, query.step)):
+            return self._conclude(query, False)
+        unsent = sum(not p.attempts for p in open_parts)
+        if (reachable < floor - 1e-5 or self.now >= query.dead_at
+                or unsent and not query.started and self.now >= query.born + START_SHARE * cls.aim):
+            return self._give_up(query)
+        if self.now >= query.aim_at - 2 * self.cfg.tick:
+            if cls.late_worth <= 0 or unsent or self.waiting:
+                return self._give_up(query)
+            self._at(min(self.now + RECHECK, query.dead_at), self._review, query)
+
+    def _drop_spare(self, query: Query) -> None:
+        if not query.ended and query.step == 1:
+            for part in query.parts:
+                if part.spare and not part.attempts:
+                    part.dropped = True
+            self._review(query)
+
+    # --- the ledger and the guard --------------------------------------------
+
+    def _count_taken(self, number: int) -> None:
+        self.taken.append((self.now, number))
+        self.taken_sum += number
+
+    def _ledger_allows(self, hedge: bool) -> bool:
+        """Rule 6: hedges and retries of any window, together, within the told budget."""
+        if self.cfg.budget_window is None:
+            return True
+        edge = self.now - self.cfg.budget_window
+        while self.taken and self.taken[0][0] <= edge:
+            self.taken_sum -= self.taken.popleft()[1]
+        while self.extras and self.extras[0] < edge:
+            self.extras.popleft()
+        allowed = self.cfg.budget_floor + self.cfg.budget_share * self.taken_sum
+        return len(self.extras) + 1 <= (HEDGE_LEDGER * allowed if hedge else allowed)
+
+    def _may_send(self, part: Part, server: Server, hedge: bool) -> bool:
+        """Every send passes here: the rules that bind it, in one place."""
+        query = part.query
+        if query.ended or part.answered or part.dropped or self.now >= query.dead_at:  # rule 1
+            return False
+        if server.status is not Status.READY or len(part.attempts) >= self.cfg.attempts_cap:  # rule 3
+            return False
+        if query.cls.effect is not Effect.SAFE:  # rule 2
+            ran = [a for a in part.attempts if a.outcome is None or not a.outcome.never_ran]
+            keyed = query.cls.effect is Effect.KEYED and not hedge
+            if ran and not (keyed and self.now < ran[0].sent + query.cls.dedup_window - 2 * self.cfg.tick):
+                return False
+        if part.attempts and not self._ledger_allows(hedge):  # rule 6
+            return False
+        return self._warmth(server) >= 1.0 or self._cold_room(server)  # rule 4
+
+    def _cold_room(self, server: Server) -> bool:
+        """Rule 4: what warm servers are seen to bear, scaled by the least warmth, bounds a cold one."""
+        edge = self.now - self.cfg.cold_window
+        while server.sent_at and server.sent_at[0] <= edge:
+            server.sent_at.popleft()
+        counts = [s.sketch.count(self.now) for s in self.servers.values()
+                  if s.status is Status.READY and self._warmth(s) >= 1.0]
+        span = min(max(self.now - self.began, 1.0), 1.5 * ROTATE)
+        borne = sum(counts) / len(counts) / span * self.cfg.cold_window if counts else 0.0
+        room = COLD_PART * self.cfg.cold_multiple * self._warmth(server) * borne
+        return len(server.sent_at) + 1 <= max(room, 1.0)
+
+    # --- turns ---------------------------------------------------------------
+
+    def _flagged(self, server: Server) -> bool:
+        return server.overdue > 0 or self.now < server.flag_until
+
+    def _pick(self, part: Part, mates: list[Server], hedge: bool = False) -> Server | None:
+        """The next replica in turn that is not overdue; if all are, the next in turn."""
+        ring = self._ring(part.cell)
+        tried = {attempt.server for attempt in part.attempts}
+        if all(server in tried for server in ring):
+            if hedge:
+                return None
+            tried = set()
+        for server in mates:
+            if server in ring and server not in tried and self._has_room(server) \
+                    and self._may_send(part, server, hedge):
+                return server
+        turn = self.turns.setdefault(part.cell, self.rng.randrange(1 << 16))
+        for trusting in (True, False):
+            for offset in range(len(ring)):
+                server = ring[(turn + offset) % len(ring)]
+                if server in tried or trusting and self._flagged(server) or not self._has_room(server):
+                    continue
+                if trusting and self._warmth(server) < self.rng.random():
+                    continue
+                if self._may_send(part, server, hedge):
+                    self.turns[part.cell] = turn + offset + 1
+                    return server
+        return None
+
+    def _has_room(self, server: Server) -> bool:
+        return server.out < (min(server.window, 1.0) if self.now < server.flag_until else int(server.window))
+
+    def _send_waiting(self) -> None:
+        """First tries and retries, oldest query first; what finds no room stays in line."""
+        keep: list[Part] = []
+        full: set[int] = set()
+        self.waiting.sort(key=lambda p: (p.spare, p.query.born, p.query.number))
+        mates: dict[Query, list[Server]] = {}
+        for part in self.waiting:
+            if part.dropped or part.answered or part.query.ended:
+                continue
+            server = None
+            if part.cell not in full or part.attempts:
+                near = mates.setdefault(part.query, []) if self.cfg.call_work else []
+                server = self._pick(part, near)
+                if server is not None:
+                    near.append(server)
+                    self._send(part, server)
+                elif not part.attempts:
+                    full.add(part.cell)
+            if server is None:
+                keep.append(part)
+        self.waiting = keep
+
+    def _send(self, part: Part, server: Server) -> None:
+        if part.attempts:
+            self.extras.append(self.now)
+        attempt = Attempt(part, len(part.attempts), server, self.now, self._timer(part.query.cls, server))
+        part.attempts.append(attempt)
+        part.query.started = True
+        self.out[part.id, attempt.number] = attempt
+        server.out += 1
+        server.sent_at.append(self.now)
+        if self._warmth(server) >= 1.0:
+            server.sent_at.clear()
+        self.parts_sent += len(part.attempts) == 1
+        self._do(io.Send(part.id, server.id, 0.0))
+        self._at(self.now + attempt.timer, self._timer_fired, attempt)
+
+    # --- timer, tokens, copies -----------------------------------------------
+
+    def _timer(self, cls: io.QueryClass, server: Server) -> float:
+        """That server's p90, or the aggregator's; bounded by the aggregator's."""
+        overall = self.all.read(self.now)[1]
+        if not overall:
+            return max(BLIND_TIMER * cls.aim, MIN_TIMER)
+        own = server.sketch.read(self.now)[1] if server.sketch.count(self.now) >= ENOUGH else overall
+        return max(min(own, FLEET_TIMER * overall, BLIND_TIMER * cls.aim), MIN_TIMER)
+
+    def _timer_fired(self, attempt: Attempt) -> None:
+        if attempt.outcome is not None:
+            return
+        attempt.fired = True
+        attempt.server.overdue += 1
+        if not attempt.part.query.ended and attempt.part.query.cls.effect is Effect.SAFE:
+            self.hungry.append(attempt)
+            self._at(attempt.sent + STRAND_TIMERS * attempt.timer, self._stranded, attempt)
+
+    def _stranded(self, attempt: Attempt) -> None:
+        """A server gone silent holds the part: move it, unless the whole fleet is silent."""
+        part = attempt.part
+        if attempt.outcome is not None or part.answered or part.dropped or attempt.hedged:
+            return
+        if attempt.server.last_answer < attempt.sent < self.last_answer and self._ledger_allows(False) \
+                and len(part.attempts) < self.cfg.attempts_cap:
+            self._cancel(attempt)
+        else:
+            self._at(self.now + attempt.timer, self._stranded, attempt)
+
+    def _refill(self) -> None:
+        seconds = max((self.now - self.began) / 1000.0, 1.0)
+        rate = max(self.parts_sent / seconds, 1.0)
+        share = TOKEN_SHARE if self.cfg.budget_share is None else min(TOKEN_SHARE, self.cfg.budget_share)
+        refill = rate * share
+        self.tokens = min(self.tokens + refill * (self.now - self.token_at) / 1000.0, max(refill, 1.0))
+        self.token_at = self.now
+
+    def _send_copies(self) -> None:
+        """Tokens go first to the query nearest to being whole; one that is lost gets none."""
+        self._refill()
+        self.hungry = [a for a in self.hungry if a.outcome is None and not a.cancelled and not a.part.answered
+                       and not a.part.dropped and not a.part.query.ended]
+        if self.tokens < 1.0 or not self.hungry or not self.cfg.second_copies:
+            return
+        quick = self.all.read(self.now)[0]
+        missing = {a.part.query: sum(not p.answered for p in a.part.query.parts) for a in self.hungry}
+        self.hungry.sort(key=lambda a: (missing[a.part.query], -a.part.query.cls.worth, a.sent))
+        for attempt in list(self.hungry):
+            part = attempt.part
+            if self.tokens < 1.0:
+                break
+            if self.now + quick > part.query.aim_at or sum(a.outcome is None for a in part.attempts) > 1:
+                continue
+            server = self._pick(part, [], hedge=True)
+            if server is not None and not self._flagged(server):
+                self.tokens -= 1.0
+                attempt.hedged = True
+                self.hungry.remove(attempt)
+                self._send(part, server)
+
+    # --- attempts end --------------------------------------------------------
+
+    def _attempt_ended(self, event: io.AttemptEnded) -> None:
+        attempt = self.out.pop((event.part, event.attempt), None)
+        if attempt is None:
+            return
+        server, part, query = attempt.server, attempt.part, attempt.part.query
+        attempt.outcome = event.outcome
+        server.out -= 1
+        server.overdue -= attempt.fired
+        if event.outcome is Outcome.ANSWERED:
+            self._learn(attempt, event.took)
+            if not part.answered and not part.dropped and not query.ended:
+                part.answered = True
+                for twin in part.attempts:
+                    self._cancel(twin)
+                self._review(query)
+            return
+        if event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF, Outcome.TIMED_OUT) or attempt.fired:
+            server.backoff = min(max(2 * server.backoff, TRIAL_FIRST), TRIAL_LAST)
+            server.flag_until = self.now + server.backoff
+        elif event.outcome is Outcome.REJECTED:
+            self._cut(server)
+        if part.answered or part.dropped or query.ended or any(a.outcome is None for a in part.attempts):
+            return
+        may_have_run = not event.outcome.never_ran
+        if len(part.attempts) >= self.cfg.attempts_cap or may_have_run and query.cls.effect is Effect.UNSAFE:
+            part.dropped = True
+            self._review(query)
+        else:
+            self.waiting.append(part)
+
+    def _learn(self, attempt: Attempt, took: float) -> None:
+        server = attempt.server
+        self.last_answer = server.last_answer = self.now
+        server.sketch.add(self.now, took)
+        self.all.add(self.now, took)
+        server.backoff, server.flag_until = 0.0, float("-inf")
+        target = max(SLOW_SHARE * self.shortest_aim, SLOW_FACTOR * self.all.read(self.now)[0])
+        if took > target:
+            self._cut(server)
+        elif server.out + 1 >= int(server.window):
+            server.window += 1.0 / server.window
+
+    def _cut(self, server: Server) -> None:
+        if self.now - server.last_cut >= SLOW_SHARE * self.shortest_aim:
+            server.window, server.last_cut = max(server.window * WINDOW_CUT, 1.0), self.now
--- /dev/null
+++ b/tansycrank/wire.py
@@ -0,0 +1,279 @@
+"""Frames of the simulator's wire, to and from the terms of `interface.py`. Translation only."""
+
+from __future__ import annotations
+
+import json
+import struct
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from tansycrank import interface as io
+
+HEADER = struct.Struct("<IdI")
+REPLY_HEADER = struct.Struct("<II")
+EVENT_BYTES = 56
+ACTION_BYTES = 24
+ENTRY = struct.Struct("<HfIBBdH")
+EVERY_PEER = 0xFFFFFFFF
+MAX_FRAME = 1 << 30
+
+ATTACH, VIEW, CRASH_NOW, FIRST, REQ, FROM_PEER, DIRECTORY, RING, DONE, ABORTED, PROBE_RESULT = range(1, 12)
+EVENTS = {
+    ATTACH: struct.Struct("<xHQII"),
+    VIEW: struct.Struct("<xHBIB"),
+    CRASH_NOW: struct.Struct("<xH"),
+    FIRST: struct.Struct("<xHQBId"),
+    REQ: struct.Struct("<xHQfdHfHQdBf"),
+    FROM_PEER: struct.Struct("<xHHII"),
+    DIRECTORY: struct.Struct("<xBII"),
+    RING: struct.Struct("<xHQ"),
+    DONE: struct.Struct("<xHQBIBdBB4f"),
+    ABORTED: struct.Struct("<xHQ"),
+    PROBE_RESULT: struct.Struct("<xHBIdB4f"),
+}
+(DROP_ATTEMPT, SIGNAL, SHED, CONCLUDE, REPORT_FAILURE, NOTE_DOWN, BROKEN, SAMPLE, RELOAD, OBSERVE, CLOSE_IDLE,
+ WAKE_ME, SUBMIT_TO) = range(65, 78)
+OUTCOMES = {
+    10: io.Outcome.ANSWERED, 20: io.Outcome.ERROR, 30: io.Outcome.REJECTED, 40: io.Outcome.TIMED_OUT,
+    50: io.Outcome.UNCONNECTED, 60: io.Outcome.BROKEN_OFF, 70: io.Outcome.CANCELLED, 80: io.Outcome.NOT_SENT,
+}
+STATUSES = {0: io.Status.GONE, 1: io.Status.DRAINING, 2: io.Status.READY}
+LIST_KINDS = {0: io.ListKind.FULL, 1: io.ListKind.FAILED, 2: io.ListKind.CHANGES, 3: io.ListKind.CACHED}
+EFFECTS = {"read_like": io.Effect.SAFE, "idempotency_key": io.Effect.KEYED, "non_idempotent": io.Effect.UNSAFE}
+REPEAT_BIT = 2
+
+
+class FrameError(ValueError):
+    """A frame that can't be read, with the place of the fault."""
+
+
+@dataclass(frozen=True, slots=True)
+class Attached:
+    """A fresh instance, with its seed and the text of its settings."""
+
+    seed: int
+    info: str
+
+
+@dataclass(frozen=True, slots=True)
+class Killed:
+    """The instance is no more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The decision code of an instance has failed."""
+
+    text: str
+
+
+class Decoder:
+    """Turns frames into (clock, [(instance, record)]); remembers the numbered lists."""
+
+    def __init__(self) -> None:
+        self._lists: dict[int, tuple[io.Listed, ...]] = {}
+
+    def decode(self, frame: bytes) -> tuple[float, list[tuple[int, object]]]:
+        """Read one whole frame, header included."""
+        if len(frame) < HEADER.size:
+            raise FrameError(f"frame of {len(frame)} bytes is shorter than its header ({HEADER.size})")
+        size, clock, count = HEADER.unpack_from(frame)
+        if size != len(frame):
+            raise FrameError(f"byte 0: frame says {size} bytes but has {len(frame)}")
+        tail_at = HEADER.size + count * EVENT_BYTES
+        if tail_at > size:
+            raise FrameError(f"byte 12: {count} records need {tail_at} bytes but the frame has {size}")
+        tail = frame[tail_at:]
+        records = []
+        for index in range(count):
+            at = HEADER.size + index * EVENT_BYTES
+            where = f"record {index} at byte {at}"
+            layout = EVENTS.get(frame[at])
+            if layout is None:
+                raise FrameError(f"{where}: unknown event code {frame[at]}")
+            fields = layout.unpack_from(frame, at)
+            if frame[at] == DIRECTORY:
+                number, offset, length = fields
+                self._lists[number] = self._entries(tail, offset, length, where)
+            else:
+                records.append((fields[0], self._record(frame[at], fields[1:], tail, where)))
+        return clock, records
+
+    def _record(self, code: int, fields: tuple, tail: bytes, where: str) -> object:
+        if code == REQ:
+            return _request(fields)
+        if code == DONE:
+            part, attempt, server, ended, took, closed, count, *load = fields
+            return io.AttemptEnded(part, attempt, server, _known(OUTCOMES, ended, "disposition", where), took,
+                                   bool(closed), tuple(load[:count]))
+        if code == RING:
+            return io.Woken(*fields)
+        if code == ABORTED:
+            return io.QueryGone(*fields)
+        if code == VIEW:
+            scope, _version, number = fields
+            kind = _known(LIST_KINDS, scope, "scope", where)
+            if kind is io.ListKind.FAILED:
+                return io.ServerList(kind)
+            return io.ServerList(kind, _known(self._lists, number, "buffer", where))
+        if code == ATTACH:
+            seed, offset, length = fields
+            try:
+                return Attached(seed, _slice(tail, offset, length, where).decode("utf-8"))
+            except UnicodeDecodeError as error:
+                raise FrameError(f"{where}: info is not UTF-8: {error}") from error
+        if code == CRASH_NOW:
+            return Killed()
+        if code == PROBE_RESULT:
+            ended, server, took, count, *load = fields
+            return io.ProbeEnded(server, _known(OUTCOMES, ended, "disposition", where), took, tuple(load[:count]))
+        if code == FROM_PEER:
+            peer, offset, length = fields
+            return io.PeerSaid(peer, _slice(tail, offset, length, where))
+        return io.AnswerBegan(*fields)
+
+    @staticmethod
+    def _entries(tail: bytes, offset: int, count: int, where: str) -> tuple[io.Listed, ...]:
+        raw = _slice(tail, offset, count * ENTRY.size, where)
+        return tuple(
+            io.Listed(server, cell, zone, _known(STATUSES, status, "status", where), came_up, hint)
+            for _shape, hint, server, zone, status, came_up, cell in ENTRY.iter_unpack(raw)
+        )
+
+
+def _request(fields: tuple) -> object:
+    job, measure, _work, _customer, number, query_class, key, left, options, shard = fields
+    if shard < 0:
+        return io.QueryArrived(job, int(number), query_class, left, int(measure), key, bool(options & REPEAT_BIT))
+    return io.PartArrived(job, int(number), int(shard), measure, key)
+
+
+def _slice(tail: bytes, offset: int, length: int, where: str) -> bytes:
+    if offset + length > len(tail):
+        raise FrameError(f"{where}: bytes {offset} to {offset + length} lie beyond the tail of {len(tail)} bytes")
+    return tail[offset:offset + length]
+
+
+def _known(table: dict, value: int, field: str, where: str) -> object:
+    if value not in table:
+        raise FrameError(f"{where}: unknown {field} {value}")
+    return table[value]
+
+
+def encode(actions: Iterable[tuple[int, object]]) -> bytes:
+    """Write one reply from (instance, action) pairs."""
+    records: list[bytes] = []
+    tail = bytearray()
+    for instance, action in actions:
+        records.append(_encode(instance, action, tail).ljust(ACTION_BYTES, b"\0"))
+    body = b"".join(records) + bytes(tail)
+    return REPLY_HEADER.pack(REPLY_HEADER.size + len(body), len(records)) + body
+
+
+def _encode(instance: int, action: object, tail: bytearray) -> bytes:
+    match action:
+        case io.Send(part, server, time_out):
+            return struct.pack("<BHQId", SUBMIT_TO, instance, part, server, time_out)
+        case io.Wake(after, token):
+            return struct.pack("<BHdQ", WAKE_ME, instance, after, token)
+        case io.Cancel(part, attempt):
+            return struct.pack("<BHQB", DROP_ATTEMPT, instance, part, attempt)
+        case io.Answer(query, whole):
+            return struct.pack("<BHQB", CONCLUDE, instance, query, whole)
+        case io.Shed(query, hold_off):
+            return struct.pack("<BHQd", SHED, instance, query, hold_off)
+        case io.Fail(query):
+            return struct.pack("<BHQ", REPORT_FAILURE, instance, query)
+        case io.Watch(on):
+            return struct.pack("<BHB", OBSERVE, instance, on)
+        case io.FetchList():
+            return struct.pack("<BH", RELOAD, instance)
+        case io.Probe(server):
+            return struct.pack("<BHI", SAMPLE, instance, server)
+        case io.CloseIdle(server):
+            return struct.pack("<BHI", CLOSE_IDLE, instance, server)
+        case io.TellPeer(peer, data):
+            code = struct.pack("<BHIII", SIGNAL, instance, EVERY_PEER if peer is None else peer, len(tail), len(data))
+            tail += data
+            return code
+        case io.Note(text):
+            return _text(NOTE_DOWN, instance, text, tail)
+        case Broken(text):
+            return _text(BROKEN, instance, text, tail)
+    raise TypeError(f"not an action: {action!r}")
+
+
+def _text(code: int, instance: int, text: str, tail: bytearray) -> bytes:
+    raw = text.encode("utf-8", "replace")
+    record = struct.pack("<BHII", code, instance, len(tail), len(raw))
+    tail += raw
+    return record
+
+
+def settings_from(info: str) -> io.Settings:
+    """Read the settings text of an instance; a missing key is named with its place."""
+    try:
+        raw = json.loads(info)
+    except json.JSONDecodeError as error:
+        raise ValueError(f"settings: not JSON: {error}") from error
+    root = _Node(raw, "settings")
+    family, caps, rules, prices = root["familyInfo"], root["caps"], root["rules"], root["prices"]
+    budget = "repeatRatio" in rules.raw
+    return io.Settings(
+        classes=tuple(_class(family, node, index) for index, node in enumerate(root.items("services"))),
+        me=root["me"], routers=root["replicasOfMe"], zone=root["zone"], zones=len(root["localities"]),
+        tick=root["step"],
+        shards=family["slabs"], cells=family["positions"], reach=family["inARow"],
+        call_parts=family["bundleMax"], call_work=family["perCallWork"],
+        attempts_cap=caps["attemptsCap"], second_copies=caps["secondCopies"], can_cancel=caps["cancel"],
+        can_probe=caps["mayProbe"], can_tell_peers=caps["peers"], can_hold_off=caps["retryAfter"],
+        hold_off_max=caps["maxRetryAfter"], marks_repeats=root["clients"]["marksRetry"], open_cap=caps["openCap"],
+        must_ask=root["discovery"] == "ask", ask_every=rules["askEvery"],
+        answer_grace=rules["graceToAnswer"], drain_grace=rules["stopSendingWithin"],
+        cold_multiple=rules["overloadFactor"], cold_window=rules["fall"], cold_from=rules["coldFrom"],
+        cold_time=rules["cold"],
+        budget_floor=rules["extraFloor"] if budget else None,
+        budget_share=rules["repeatRatio"] if budget else None,
+        budget_window=rules["countedOver"] if budget else None,
+        price_crossing=prices["crossZone"], price_waste=prices["waste"], price_probe=prices["probe"],
+        price_late_fail=prices["lateFail"],
+    )
+
+
+def _class(family: _Node, node: _Node, index: int) -> io.QueryClass:
+    def per_class(key: str) -> float:
+        values = family[key]
+        if not isinstance(values, list) or index >= len(values):
+            raise ValueError(f"{family.path}.{key}: no figure for class {index}")
+        return values[index]
+
+    if node["effect"] not in EFFECTS:
+        raise ValueError(f"{node.path}.effect: unknown word {node['effect']!r}")
+    return io.QueryClass(
+        aim=node["aim"], give_up=node["giveUp"], worth=node["points"], late_worth=node["lateWorth"],
+        effect=EFFECTS[node["effect"]], dedup_window=node["window"], floor=per_class("minShare"),
+        whole_at=per_class("wholeAt"), short_worth=per_class("shortWorth"), follow_up=per_class("followUp"),
+    )
+
+
+class _Node:
+    """A JSON object that knows its own path, so that a fault can name it."""
+
+    def __init__(self, raw: object, path: str) -> None:
+        if not isinstance(raw, dict):
+            raise ValueError(f"{path}: an object is needed, got {type(raw).__name__}")
+        self.raw = raw
+        self.path = path
+
+    def __getitem__(self, key: str):
+        if key not in self.raw:
+            raise ValueError(f"{self.path}.{key}: required key is missing")
+        value = self.raw[key]
+        return _Node(value, f"{self.path}.{key}") if isinstance(value, dict) else value
+
+    def items(self, key: str) -> list[_Node]:
+        """The objects of a list."""
+        values = self[key]
+        if not isinstance(values, list):
+            raise ValueError(f"{self.path}.{key}: a list is needed")
+        return [_Node(value, f"{self.path}.{key}[{index}]") for index, value in enumerate(values)]
