--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -32,6 +32,7 @@
 SLOW_FACTOR = 2.5  # or so many times the aggregator's quick quartile, where the aim is too short for that share
 START_SHARE = 0.3  # of the aim: a query that could not start in this time is turned away while a repeat can still pay
 SPARE_SHARE = 0.3  # of the aim: parts beyond the floor are given up after waiting so long for room
+SPARE_ROOM = 0.5  # of a server's window is open to them
 TRIAL_FIRST, TRIAL_LAST = 1_000.0, 8_000.0  # ms until a silent server is tried again, doubling
 STRAND_TIMERS = 3.0  # timers after which a part at a server that went silent is moved by cancel and retry
 COLD_PART = 0.5  # of what the cold rule allows this router: slack for costly parts and for uneven routers
@@ -88,6 +89,7 @@
         self.servers: dict[int, Server] = {}
         self.queries: dict[int, Query] = {}
         self.numbers: dict[int, Query] = {}
+        self.parts: dict[int, Part] = {}
         self.out: dict[tuple[int, int], Attempt] = {}
         self.waiting: list[Part] = []  # parts with no attempt out, oldest query first
         self.hungry: list[Attempt] = []  # fired timers that want a token
@@ -98,6 +100,7 @@
         self.rings: dict[int, list[Server]] = {}
         self.all = LatencyWindow()
         self.last_answer = float("-inf")
+        self.borne = 0.0  # the most answers of one warm server in a span of the cold rule
         self.parts_sent = 0
         self.tokens = 1.0
         self.taken: deque[tuple[float, int]] = deque()  # the ledger of rule 6: requests taken ...
@@ -195,9 +198,8 @@
         for time in (query.born + START_SHARE * cls.aim, query.aim_at - 2 * self.cfg.tick, query.dead_at):
             self._at(min(time, query.dead_at), self._review, query)
         if cls.floor < cls.whole_at:
-            self._at(query.born + SPARE_SHARE * cls.aim, self._drop_spare, query)
-            for step in (1, 2):
-                self._at(self._answer_by(query, step), self._review, query)
+            for time in (query.born + SPARE_SHARE * cls.aim, self._answer_by(query, 1), self._answer_by(query, 2)):
+                self._at(time, self._review, query)
 
     def _part_arrived(self, event: io.PartArrived) -> None:
         query = self.numbers.get(event.number)
@@ -206,6 +208,7 @@
         self._count_taken(1)
         part = Part(event.part, query, event.shard % self.cfg.cells, event.weight)
         query.parts.append(part)
+        self.parts[part.id] = part
         if query.step == 1 and query.cls.floor < query.cls.whole_at:  # light parts beyond the floor yield under load
             query.parts.sort(key=lambda p: -p.weight)
             total = 0.0
@@ -214,9 +217,12 @@
         self.waiting.append(part)
 
     def _query_gone(self, event: io.QueryGone) -> None:
-        query = self.queries.get(event.query)
+        query, part = self.queries.get(event.query), self.parts.get(event.query)
         if query is not None:
             self._end(query)
+        elif part is not None:  # a client may give up a part alone
+            self._drop(part)
+            self._review(part.query)
 
     def _end(self, query: Query, action: io.Action | None = None) -> None:
         query.ended = True
@@ -229,9 +235,13 @@
     def _release(self, query: Query) -> None:
         """Parts that are no longer needed leave the line, and what is out for them is cancelled."""
         for part in query.parts:
-            part.dropped = True
-            for attempt in part.attempts:
-                self._cancel(attempt)
+            self._drop(part)
+
+    def _drop(self, part: Part) -> None:
+        part.dropped = True
+        self.parts.pop(part.id, None)
+        for attempt in part.attempts:
+            self._cancel(attempt)
 
     def _cancel(self, attempt: Attempt) -> None:
         if attempt.outcome is None and not attempt.cancelled and self.cfg.can_cancel:
@@ -273,9 +283,12 @@
         need = cls.whole_at if query.step == 1 else 1.0
         if share >= need - 1e-5 and (need < 1 or all(part.answered for part in query.parts)):
             return self._conclude(query, True)
+        floor = cls.floor if cls.floor < cls.whole_at else need
+        if floor <= share < need and self.now >= query.born + SPARE_SHARE * cls.aim:
+            for part in query.parts:
+                part.dropped |= not part.attempts
         open_parts = [p for p in query.parts if not p.answered and not p.dropped]
         reachable = share + sum(p.weight for p in open_parts)
-        floor = cls.floor if cls.floor < cls.whole_at else need
         if floor < need and share >= floor and (not open_parts or self.now >= self._answer_by(query, query.step)):
             return self._conclude(query, False)
         unsent = sum(not p.attempts for p in open_parts)
@@ -287,13 +300,6 @@
                 return self._give_up(query)
             self._at(min(self.now + RECHECK, query.dead_at), self._review, query)
 
-    def _drop_spare(self, query: Query) -> None:
-        if not query.ended and query.step == 1:
-            for part in query.parts:
-                if part.spare and not part.attempts:
-                    part.dropped = True
-            self._review(query)
-
     # --- the ledger and the guard --------------------------------------------
 
     def _count_taken(self, number: int) -> None:
@@ -333,11 +339,7 @@
         edge = self.now - self.cfg.cold_window
         while server.sent_at and server.sent_at[0] <= edge:
             server.sent_at.popleft()
-        counts = [s.sketch.count(self.now) for s in self.servers.values()
-                  if s.status is Status.READY and self._warmth(s) >= 1.0]
-        span = min(max(self.now - self.began, 1.0), 1.5 * ROTATE)
-        borne = sum(counts) / len(counts) / span * self.cfg.cold_window if counts else 0.0
-        room = COLD_PART * self.cfg.cold_multiple * self._warmth(server) * borne
+        room = COLD_PART * self.cfg.cold_multiple * self._warmth(server) * self.borne
         return len(server.sent_at) + 1 <= max(room, 1.0)
 
     # --- turns ---------------------------------------------------------------
@@ -354,24 +356,24 @@
                 return None
             tried = set()
         for server in mates:
-            if server in ring and server not in tried and self._has_room(server) \
+            if server in ring and server not in tried and self._has_room(server, part.spare) \
                     and self._may_send(part, server, hedge):
                 return server
         turn = self.turns.setdefault(part.cell, self.rng.randrange(1 << 16))
-        for trusting in (True, False):
-            for offset in range(len(ring)):
-                server = ring[(turn + offset) % len(ring)]
-                if server in tried or trusting and self._flagged(server) or not self._has_room(server):
-                    continue
-                if trusting and self._warmth(server) < self.rng.random():
-                    continue
-                if self._may_send(part, server, hedge):
-                    self.turns[part.cell] = turn + offset + 1
-                    return server
+        order = [(turn + offset + 1, ring[(turn + offset) % len(ring)]) for offset in range(len(ring))]
+        order = [pair for pair in order if pair[1] not in tried]
+        order = [pair for pair in order if not self._flagged(pair[1])] or order
+        order.sort(key=lambda pair: self._warmth(pair[1]) < self.rng.random())  # a cold server's share of the turns
+        for following, server in order:
+            if self._has_room(server, part.spare) and self._may_send(part, server, hedge):
+                self.turns[part.cell] = following
+                return server
         return None
 
-    def _has_room(self, server: Server) -> bool:
-        return server.out < (min(server.window, 1.0) if self.now < server.flag_until else int(server.window))
+    def _has_room(self, server: Server, spare: bool) -> bool:
+        if server.backoff:  # silent when last tried: one trial at a time
+            return not server.out
+        return server.out < int(server.window * (SPARE_ROOM if spare else 1.0))
 
     def _send_waiting(self) -> None:
         """First tries and retries, oldest query first; what finds no room stays in line."""
@@ -509,6 +511,11 @@
         server.sketch.add(self.now, took)
         self.all.add(self.now, took)
         server.backoff, server.flag_until = 0.0, float("-inf")
+        if self._warmth(server) >= 1.0:
+            server.answers.append(self.now)
+            while server.answers[0] <= self.now - self.cfg.cold_window:
+                server.answers.popleft()
+            self.borne = max(self.borne, float(len(server.answers)))
         target = max(SLOW_SHARE * self.shortest_aim, SLOW_FACTOR * self.all.read(self.now)[0])
         if took > target:
             self._cut(server)
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -26,6 +26,7 @@
     flag_until: float = float("-inf")
     backoff: float = 0.0
     sent_at: deque = field(default_factory=deque)
+    answers: deque = field(default_factory=deque)
 
 
 @dataclass(slots=True, eq=False)
