--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -10,11 +10,9 @@
 from collections import deque
 from collections.abc import Iterable
 
-from ddsketch import DDSketch
-
 from tansycrank import interface as io
 from tansycrank.interface import Effect, ListKind, Outcome, Status
-from tansycrank.state import Attempt, Part, Query, Server
+from tansycrank.state import Attempt, LatencyWindow, Part, Query, Server
 
 # Figures of the design.
 ROTATE = 30_000.0  # ms a sketch is filled before the pair rotates
@@ -25,7 +23,9 @@
 TOKEN_SHARE = 0.10  # copies per part sent, the refill of the bucket
 # Figures of the exceptions.
 FLEET_TIMER = 1.5  # a server's timer is at most so many of the aggregator's p90: a slow server's own p90 is slow too
+QUICK_QUANTILE = 0.25  # of all answers: what an answer takes where no queue stands
 SKETCH_REFRESH = 250.0  # ms a merged percentile is kept; merging on every send costs CPU for nothing
+WINDOW = (ROTATE, SKETCH_REFRESH, (QUICK_QUANTILE, TIMER_QUANTILE))
 WINDOW_START = 6.0  # parts of ours out at one server; enough for a call of several, little enough for a stranger
 WINDOW_CUT = 0.8  # multiplicative decrease, at most once in a target time
 SLOW_SHARE = 0.25  # of the shortest aim: an answer later than this says that the server's queue is too long
@@ -38,45 +38,11 @@
 COLD_PART = 0.5  # of what the cold rule allows this router: slack for costly parts and for uneven routers
 HEDGE_LEDGER = 0.6  # of the told budget may go to hedges; the rest is kept for retries after a crash
 HOLD_OFF = 0.15  # of the aim: when a client that was turned away should come back
+NEAR_TURNS = 4  # turns of a replica in our own zone for each of one elsewhere, where crossing has a price
 ASK_BACKOFF, ASK_BACKOFF_LAST = 200.0, 3_000.0  # ms between calls to discovery after a failure
 RECHECK = 100.0  # ms between looks at a query that is past its aim
 
 
-class LatencyWindow:
-    """Two DDSketches, the older dropped at each rotation, merged when read."""
-
-    def __init__(self) -> None:
-        self.pair = [DDSketch(), DDSketch()]
-        self.turned = self.read_at = float("-inf")
-        self.values: tuple[float, float] = (0.0, 0.0)
-
-    def add(self, now: float, value: float) -> None:
-        """Record an answer."""
-        self._rotate(now)
-        self.pair[0].add(value)
-
-    def count(self, now: float) -> float:
-        """Number of answers in the window."""
-        self._rotate(now)
-        return self.pair[0].count + self.pair[1].count
-
-    def read(self, now: float) -> tuple[float, float]:
-        """The quick quartile and the timer's percentile; zeros before any answer."""
-        if self.count(now) and now - self.read_at >= SKETCH_REFRESH:
-            merged = DDSketch()
-            for sketch in self.pair:
-                merged.merge(sketch)
-            self.values = (merged.get_quantile_value(0.25), merged.get_quantile_value(TIMER_QUANTILE))
-            self.read_at = now
-        return self.values
-
-    def _rotate(self, now: float) -> None:
-        if now - self.turned >= ROTATE:
-            fresh = now - self.turned < 2 * ROTATE
-            self.pair = [DDSketch(), self.pair[0] if fresh else DDSketch()]
-            self.turned = now
-
-
 class Router:
     """The decisions of one router, without clock or I/O: `step` is called once a round."""
 
@@ -98,7 +64,7 @@
         self.woken_for = float("inf")
         self.turns: dict[int, int] = {}
         self.rings: dict[int, list[Server]] = {}
-        self.all = LatencyWindow()
+        self.all = LatencyWindow(*WINDOW)
         self.last_answer = float("-inf")
         self.borne = 0.0  # the most answers of one warm server in a span of the cold rule
         self.parts_sent = 0
@@ -159,7 +125,7 @@
             server = self.servers.get(entry.server)
             if server is None or entry.came_up > server.came_up:  # new, or restarted: its old record says nothing
                 fresh = Server(entry.server, entry.cell, entry.zone, entry.status, entry.came_up, WINDOW_START,
-                               LatencyWindow())
+                               LatencyWindow(*WINDOW))
                 if server is not None:
                     fresh.out, fresh.overdue, fresh.sent_at = server.out, server.overdue, server.sent_at
                     for attempt in self.out.values():
@@ -172,8 +138,11 @@
     def _ring(self, cell: int) -> list[Server]:
         if cell not in self.rings:
             near = {(cell + j) % self.cfg.cells for j in range(self.cfg.reach)}
-            self.rings[cell] = sorted((s for s in self.servers.values() if s.cell in near
-                                       and s.status is Status.READY), key=lambda s: s.id)
+            ring = sorted((s for s in self.servers.values() if s.cell in near and s.status is Status.READY),
+                          key=lambda s: (s.zone != self.cfg.zone, s.id))
+            if self.cfg.price_crossing:  # a crossing has a price: replicas of our own zone get more of the turns
+                ring = [s for s in ring if s.zone == self.cfg.zone] * (NEAR_TURNS - 1) + ring
+            self.rings[cell] = ring
         return self.rings[cell]
 
     def _warmth(self, server: Server) -> float:
@@ -396,6 +365,17 @@
             if server is None:
                 keep.append(part)
         self.waiting = keep
+        self._turn_away()
+
+    def _turn_away(self) -> None:
+        """Little's law over our own windows: a query too far back in the line is refused on arrival, not later."""
+        slots = sum(s.window for s in self.servers.values() if s.status is Status.READY and not s.backoff)
+        took = self.all.read(self.now)[0] or BLIND_TIMER * self.shortest_aim
+        reach = START_SHARE * slots / took
+        for query in {p.query: None for p in self.waiting[int(reach * self.shortest_aim):]}:
+            ahead = next(i for i, p in enumerate(self.waiting) if p.query is query)
+            if not query.started and ahead > reach * query.cls.aim:
+                self._give_up(query)
 
     def _send(self, part: Part, server: Server) -> None:
         if part.attempts:
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -1,13 +1,51 @@
-"""Plain records of the decision module; nothing is decided here."""
+"""Plain records of the decision module and its latency record; nothing is decided or tuned here."""
 
 from __future__ import annotations
 
 from collections import deque
 from dataclasses import dataclass, field
 
+from ddsketch import DDSketch
+
 from tansycrank.interface import Outcome, QueryClass, Status
 
 
+class LatencyWindow:
+    """Two DDSketches, the older dropped at each rotation, merged when read."""
+
+    def __init__(self, rotate: float, refresh: float, quantiles: tuple[float, ...]) -> None:
+        self._rotate_ms, self._refresh_ms, self._quantiles = rotate, refresh, quantiles
+        self._pair = [DDSketch(), DDSketch()]
+        self._turned = self._read_at = float("-inf")
+        self._values = (0.0,) * len(quantiles)
+
+    def add(self, now: float, value: float) -> None:
+        """Record an answer."""
+        self._rotate(now)
+        self._pair[0].add(value)
+
+    def count(self, now: float) -> int:
+        """Number of answers in the window."""
+        self._rotate(now)
+        return int(self._pair[0].count + self._pair[1].count)
+
+    def read(self, now: float) -> tuple[float, ...]:
+        """The quantiles asked for, zeros before any answer; merged anew once in a refresh time."""
+        if self.count(now) and now - self._read_at >= self._refresh_ms:
+            merged = DDSketch()
+            for sketch in self._pair:
+                merged.merge(sketch)
+            self._values = tuple(merged.get_quantile_value(q) for q in self._quantiles)
+            self._read_at = now
+        return self._values
+
+    def _rotate(self, now: float) -> None:
+        if now - self._turned >= self._rotate_ms:
+            stale = now - self._turned >= 2 * self._rotate_ms
+            self._pair = [DDSketch(), DDSketch() if stale else self._pair[0]]
+            self._turned = now
+
+
 @dataclass(slots=True, eq=False)
 class Server:
     """What this router knows of one server."""
@@ -18,7 +56,7 @@
     status: Status
     came_up: float
     window: float
-    sketch: object
+    sketch: LatencyWindow
     out: int = 0
     overdue: int = 0
     last_cut: float = 0.0
