Calls are shared over queries and refilled several parts at a time; refusal on arrival taken out

Cause: under load slots freed one by one, so nearly every part paid a whole call (1.4 parts a call in hanoi's overload).

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -32,6 +32,7 @@
 SLOW_FACTOR = 2.5  # or so many times the aggregator's quick quartile, where the aim is too short for that share
 START_SHARE = 0.3  # of the aim: a query that could not start in this time is turned away while a repeat can still pay
 SPARE_SHARE = 0.3  # of the aim: parts beyond the floor are given up after waiting so long for room
+REFILL = 2  # parts of room a busy server must have, beyond one, before another call goes to it, where calls cost work
 SPARE_ROOM = 0.5  # of a server's window is open to them
 TRIAL_FIRST, TRIAL_LAST = 1_000.0, 8_000.0  # ms until a silent server is tried again, doubling
 STRAND_TIMERS = 3.0  # timers after which a part at a server that went silent is moved by cancel and retry
@@ -334,48 +335,40 @@
         order = [pair for pair in order if not self._flagged(pair[1])] or order
         order.sort(key=lambda pair: self._warmth(pair[1]) < self.rng.random())  # a cold server's share of the turns
         for following, server in order:
-            if self._has_room(server, part.spare) and self._may_send(part, server, hedge):
+            if self._has_room(server, part.spare, True) and self._may_send(part, server, hedge):
                 self.turns[part.cell] = following
                 return server
         return None
 
-    def _has_room(self, server: Server, spare: bool) -> bool:
+    def _has_room(self, server: Server, spare: bool, new_call: bool = False) -> bool:
         if server.backoff:  # silent when last tried: one trial at a time
             return not server.out
-        return server.out < int(server.window * (SPARE_ROOM if spare else 1.0))
+        window = int(server.window * (SPARE_ROOM if spare else 1.0))
+        if new_call and self.cfg.call_work and server.out:  # a call costs work: wait for room for several parts
+            window -= min(REFILL, window // 2)
+        return server.out < window
 
     def _send_waiting(self) -> None:
         """First tries and retries, oldest query first; what finds no room stays in line."""
         keep: list[Part] = []
         full: set[int] = set()
         self.waiting.sort(key=lambda p: (p.spare, p.query.born, p.query.number))
-        mates: dict[Query, list[Server]] = {}
+        called: list[Server] = []
         for part in self.waiting:
             if part.dropped or part.answered or part.query.ended:
                 continue
             server = None
             if part.cell not in full or part.attempts:
-                near = mates.setdefault(part.query, []) if self.cfg.call_work else []
-                server = self._pick(part, near)
+                server = self._pick(part, called)
                 if server is not None:
-                    near.append(server)
+                    if self.cfg.call_work and server not in called:
+                        called.append(server)
                     self._send(part, server)
                 elif not part.attempts:
                     full.add(part.cell)
             if server is None:
                 keep.append(part)
         self.waiting = keep
-        self._turn_away()
-
-    def _turn_away(self) -> None:
-        """Little's law over our own windows: a query too far back in the line is refused on arrival, not later."""
-        slots = sum(s.window for s in self.servers.values() if s.status is Status.READY and not s.backoff)
-        took = self.all.read(self.now)[0] or BLIND_TIMER * self.shortest_aim
-        reach = START_SHARE * slots / took
-        for query in {p.query: None for p in self.waiting[int(reach * self.shortest_aim):]}:
-            ahead = next(i for i, p in enumerate(self.waiting) if p.query is query)
-            if not query.started and ahead > reach * query.cls.aim:
-                self._give_up(query)
 
     def _send(self, part: Part, server: Server) -> None:
         if part.attempts:
