--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -7,12 +7,11 @@
 
 import heapq
 import random
-from collections import deque
 from collections.abc import Iterable
 
 from tansycrank import interface as io
 from tansycrank.interface import Effect, ListKind, Outcome, Status
-from tansycrank.state import Attempt, LatencyWindow, Part, Query, Server
+from tansycrank.state import Attempt, LatencyWindow, Part, Query, Server, SlidingSum
 
 # Figures of the design.
 ROTATE = 30_000.0  # ms a sketch is filled before the pair rotates
@@ -22,17 +21,18 @@
 BLIND_TIMER = 1 / 3  # of the aim, before there is any answer at all
 TOKEN_SHARE = 0.10  # copies per part sent, the refill of the bucket
 # Figures of the exceptions.
-FLEET_TIMER = 1.5  # a server's timer is at most so many of the aggregator's p90: a slow server's own p90 is slow too
+FLEET_TIMER = 1.5  # a server's timer is at most so many overall p90s: a slow server's own p90 is slow too
 QUICK_QUANTILE = 0.25  # of all answers: what an answer takes where no queue stands
 SKETCH_REFRESH = 250.0  # ms a merged percentile is kept; merging on every send costs CPU for nothing
 WINDOW = (ROTATE, SKETCH_REFRESH, (QUICK_QUANTILE, TIMER_QUANTILE))
-WINDOW_START = 6.0  # parts of ours out at one server; enough for a call of several, little enough for a stranger
+WINDOW_START = 6.0  # parts of ours out at one server, to begin with
 WINDOW_CUT = 0.8  # multiplicative decrease, at most once in a target time
 SLOW_SHARE = 0.25  # of the shortest aim: an answer later than this says that the server's queue is too long
-SLOW_FACTOR = 2.5  # or so many times the aggregator's quick quartile, where the aim is too short for that share
-START_SHARE = 0.3  # of the aim: a query that could not start in this time is turned away while a repeat can still pay
+SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
+START_SHARE = 0.3  # of the aim: what could not start by then is refused while a repeat can still pay
 SPARE_SHARE = 0.3  # of the aim: parts beyond the floor are given up after waiting so long for room
-REFILL = 2  # parts of room a busy server must have, beyond one, before another call goes to it, where calls cost work
+REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
+SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
 SPARE_ROOM = 0.5  # of a server's window is open to them
 TRIAL_FIRST, TRIAL_LAST = 1_000.0, 8_000.0  # ms until a silent server is tried again, doubling
 STRAND_TIMERS = 3.0  # timers after which a part at a server that went silent is moved by cancel and retry
@@ -50,29 +50,20 @@
     def __init__(self, settings: io.Settings, seed: int) -> None:
         self.cfg = settings
         self.rng = random.Random(seed)
-        self.now = self.began = self.token_at = 0.0
-        self.stepped = False
+        self.now, self.token_at, self.began = 0.0, 0.0, None
         self.actions: list[io.Action] = []
         self.servers: dict[int, Server] = {}
-        self.queries: dict[int, Query] = {}
-        self.numbers: dict[int, Query] = {}
-        self.parts: dict[int, Part] = {}
+        self.queries, self.numbers, self.parts = {}, {}, {}  # by id, by number, by id
         self.out: dict[tuple[int, int], Attempt] = {}
         self.waiting: list[Part] = []  # parts with no attempt out, oldest query first
         self.hungry: list[Attempt] = []  # fired timers that want a token
-        self.agenda: list[tuple] = []  # (time, order, function, argument)
-        self.order = 0
-        self.woken_for = float("inf")
-        self.turns: dict[int, int] = {}
-        self.rings: dict[int, list[Server]] = {}
+        self.agenda, self.order, self.woken_for = [], 0, float("inf")  # (time, order, function, argument)
+        self.turns, self.rings = {}, {}  # by cell: the turn, the replicas
         self.all = LatencyWindow(*WINDOW)
-        self.last_answer = float("-inf")
-        self.borne = 0.0  # the most answers of one warm server in a span of the cold rule
-        self.parts_sent = 0
-        self.tokens = 1.0
-        self.taken: deque[tuple[float, int]] = deque()  # the ledger of rule 6: requests taken ...
-        self.taken_sum = 0
-        self.extras: deque[float] = deque()  # ... and attempts beyond a first
+        self.borne = 0  # the most answers of one warm server in a span of the cold rule
+        self.parts_sent, self.tokens, self.last_answer = 0, 1.0, float("-inf")
+        span = settings.budget_window or 0.0  # the ledger of rule 6: requests taken, attempts beyond a first
+        self.taken, self.extras = SlidingSum(span), SlidingSum(span + settings.tick)
         self.longest: dict[int, float] = {}  # by class: the longest time a first try was given
         self.ask_backoff = ASK_BACKOFF
         self.shortest_aim = min(cls.aim for cls in settings.classes)
@@ -80,17 +71,13 @@
     def step(self, now_ms: float, events: Iterable[io.Event]) -> list[io.Action]:
         """Hear one round's events and return what to do, in order."""
         self.now, self.actions = now_ms, []
-        if not self.stepped:
-            self.stepped, self.began, self.token_at = True, now_ms, now_ms
-            if self.cfg.must_ask:
-                self._do(io.Watch(True))
-        hear = {io.AttemptEnded: self._attempt_ended, io.QueryArrived: self._query_arrived,
-                io.PartArrived: self._part_arrived, io.QueryGone: self._query_gone, io.ServerList: self._listed}
+        if self.began is None:
+            self.began = self.token_at = now_ms
+            self._watch(None)
+        hear = {io.AttemptEnded: self._ended, io.QueryArrived: self._query_arrived, io.Woken: self._woken,
+                io.PartArrived: self._part_arrived, io.QueryGone: self._gone, io.ServerList: self._listed}
         for event in events:
-            if type(event) is io.Woken:
-                self.woken_for = float("inf")
-            elif type(event) in hear:
-                hear[type(event)](event)
+            hear.get(type(event), lambda _: None)(event)
         while self.agenda and self.agenda[0][0] <= now_ms:
             _, _, function, argument = heapq.heappop(self.agenda)
             function(argument)
@@ -98,37 +85,35 @@
         self._send_copies()
         if self.agenda and self.agenda[0][0] < self.woken_for:
             self.woken_for = self.agenda[0][0]
-            self._do(io.Wake(max(self.woken_for - now_ms, 0.0), 1))
+            self.actions.append(io.Wake(max(self.woken_for - now_ms, 0.0), 1))
         return self.actions
 
-    def _do(self, action: io.Action) -> None:
-        self.actions.append(action)
-
     def _at(self, time: float, function, argument) -> None:
         self.order += 1
         heapq.heappush(self.agenda, (time, self.order, function, argument))
 
-    # --- the list of servers -------------------------------------------------
+    def _watch(self, _: None) -> None:
+        if self.cfg.must_ask:
+            self.actions.append(io.Watch(True))
 
     def _listed(self, event: io.ServerList) -> None:
         if event.kind is ListKind.FAILED:  # ask again, later each time: discovery has little capacity
-            self._at(self.now + self.ask_backoff, lambda _: self._do(io.Watch(True)), None)
+            self._at(self.now + self.ask_backoff, self._watch, None)
             self.ask_backoff = min(2 * self.ask_backoff, ASK_BACKOFF_LAST)
             return
         if event.kind is not ListKind.CACHED:
             self.ask_backoff = ASK_BACKOFF
         if event.kind is not ListKind.CHANGES:
-            named = {entry.server for entry in event.entries}
-            for server in self.servers.values():
-                if server.id not in named:
-                    server.status = Status.GONE
+            for server in self.servers.values():  # the list names all that stand
+                server.status = Status.GONE
         for entry in event.entries:
             server = self.servers.get(entry.server)
-            if server is None or entry.came_up > server.came_up:  # new, or restarted: its old record says nothing
+            if server is None or entry.came_up > server.came_up:  # new or restarted: the old record is void
+                span = self.cfg.cold_window
                 fresh = Server(entry.server, entry.cell, entry.zone, entry.status, entry.came_up, WINDOW_START,
-                               LatencyWindow(*WINDOW))
+                               LatencyWindow(*WINDOW), SlidingSum(span + self.cfg.tick), SlidingSum(span))
                 if server is not None:
-                    fresh.out, fresh.overdue, fresh.sent_at = server.out, server.overdue, server.sent_at
+                    fresh.out, fresh.overdue, fresh.sends = server.out, server.overdue, server.sends
                     for attempt in self.out.values():
                         if attempt.server is server:
                             attempt.server = fresh
@@ -141,7 +126,7 @@
             near = {(cell + j) % self.cfg.cells for j in range(self.cfg.reach)}
             ring = sorted((s for s in self.servers.values() if s.cell in near and s.status is Status.READY),
                           key=lambda s: (s.zone != self.cfg.zone, s.id))
-            if self.cfg.price_crossing:  # a crossing has a price: replicas of our own zone get more of the turns
+            if self.cfg.price_crossing:  # replicas of our own zone get more of the turns
                 ring = [s for s in ring if s.zone == self.cfg.zone] * (NEAR_TURNS - 1) + ring
             self.rings[cell] = ring
         return self.rings[cell]
@@ -153,8 +138,6 @@
         age = max(self.now - server.came_up, 0.0) / self.cfg.cold_time
         return min(self.cfg.cold_from + (1 - self.cfg.cold_from) * age, 1.0)
 
-    # --- queries in and out --------------------------------------------------
-
     def _query_arrived(self, event: io.QueryArrived) -> None:
         cls = self.cfg.classes[event.query_class]
         longest = self.longest.get(event.query_class, 0.0)
@@ -164,92 +147,84 @@
         query = Query(event.query, event.number, cls, self.now, self.now + cls.aim - gone,
                       self.now + event.time_left - 2 * self.cfg.tick, event.repeat)
         self.queries[query.id] = self.numbers[query.number] = query
-        self._count_taken(1)
+        self.taken.add(self.now)
         for time in (query.born + START_SHARE * cls.aim, query.aim_at - 2 * self.cfg.tick, query.dead_at):
             self._at(min(time, query.dead_at), self._review, query)
         if cls.floor < cls.whole_at:
-            for time in (query.born + SPARE_SHARE * cls.aim, self._answer_by(query, 1), self._answer_by(query, 2)):
-                self._at(time, self._review, query)
+            self._at(query.born + SPARE_SHARE * cls.aim, self._review, query)
+            self._at(self._answer_by(query), self._review, query)
 
     def _part_arrived(self, event: io.PartArrived) -> None:
         query = self.numbers.get(event.number)
         if query is None:
             return
-        self._count_taken(1)
+        self.taken.add(self.now)
         part = Part(event.part, query, event.shard % self.cfg.cells, event.weight)
         query.parts.append(part)
         self.parts[part.id] = part
-        if query.step == 1 and query.cls.floor < query.cls.whole_at:  # light parts beyond the floor yield under load
+        if query.step == 1 and query.cls.floor < query.cls.whole_at:  # light parts yield under load
             query.parts.sort(key=lambda p: -p.weight)
             total = 0.0
             for one in query.parts:
                 one.spare, total = total > query.cls.floor + 0.05, total + one.weight
         self.waiting.append(part)
 
-    def _query_gone(self, event: io.QueryGone) -> None:
-        query, part = self.queries.get(event.query), self.parts.get(event.query)
-        if query is not None:
-            self._end(query)
-        elif part is not None:  # a client may give up a part alone
+    def _woken(self, _: io.Woken) -> None:
+        self.woken_for = float("inf")
+
+    def _gone(self, event: io.QueryGone) -> None:
+        if event.query in self.queries:
+            self._end(self.queries[event.query])
+        elif part := self.parts.get(event.query):  # a part given up alone
             self._drop(part)
             self._review(part.query)
 
-    def _end(self, query: Query, action: io.Action | None = None) -> None:
+    def _end(self, query: Query, *final: io.Action) -> None:
         query.ended = True
         del self.queries[query.id]
         self.numbers.pop(query.number, None)
-        if action is not None:
-            self._do(action)
-        self._release(query)
+        self.actions.extend(final)
+        self._drop(*query.parts)
 
-    def _release(self, query: Query) -> None:
+    def _drop(self, *parts: Part) -> None:
         """Parts that are no longer needed leave the line, and what is out for them is cancelled."""
-        for part in query.parts:
-            self._drop(part)
-
-    def _drop(self, part: Part) -> None:
-        part.dropped = True
-        self.parts.pop(part.id, None)
-        for attempt in part.attempts:
-            self._cancel(attempt)
+        for part in parts:
+            part.dropped = True
+            self.parts.pop(part.id, None)
+            for attempt in part.attempts:
+                self._cancel(attempt)
 
     def _cancel(self, attempt: Attempt) -> None:
         if attempt.outcome is None and not attempt.cancelled and self.cfg.can_cancel:
             attempt.cancelled = True
-            self._do(io.Cancel(attempt.part.id, attempt.number))
-
-    def _share(self, query: Query) -> float:
-        return sum(part.weight for part in query.parts if part.answered)
+            self.actions.append(io.Cancel(attempt.part.id, attempt.number))
 
-    def _answer_by(self, query: Query, step: int) -> float:
+    def _answer_by(self, query: Query) -> float:
         """When a partial answer goes out: at the aim, with time left for a second step."""
-        second = 1.5 * self.all.read(self.now)[1] if step == 1 and query.cls.follow_up else 0.0
+        second = SECOND_STEP * self.all.read(self.now)[1] if query.step == 1 and query.cls.follow_up else 0.0
         return query.aim_at - 3 * self.cfg.tick - second
 
     def _conclude(self, query: Query, whole: bool) -> None:
         if query.step == 1 and query.cls.follow_up:
-            self._do(io.Answer(query.id, whole))
+            self.actions.append(io.Answer(query.id, whole))
             query.whole_so_far, query.step = whole, 2
-            self._release(query)
+            self._drop(*query.parts)
             query.parts = []
         else:
             self._end(query, io.Answer(query.id, whole and query.whole_so_far))
 
     def _give_up(self, query: Query) -> None:
         """At once, and as a refusal wherever no effect may have happened."""
-        harmless = query.cls.effect is Effect.SAFE or all(
-            attempt.outcome is not None and attempt.outcome.never_ran for part in query.parts
-            for attempt in part.attempts)
+        ran = any(a.may_have_run for part in query.parts for a in part.attempts)
         hold = min(HOLD_OFF * query.cls.aim, self.cfg.hold_off_max) if self.cfg.can_hold_off else 0.0
+        harmless = not ran or query.cls.effect is Effect.SAFE
         self._end(query, io.Shed(query.id, hold) if harmless else io.Fail(query.id))
 
     def _review(self, query: Query) -> None:
         """Answer if it is time, or give up if nothing more can be earned."""
         if query.ended or not query.parts:
-            if not query.ended and self.now >= query.dead_at:
-                self._give_up(query)
-            return
-        cls, share = query.cls, self._share(query)
+            return None if query.ended or self.now < query.dead_at else self._give_up(query)
+        cls, share = query.cls, sum(part.weight for part in query.parts if part.answered)
         need = cls.whole_at if query.step == 1 else 1.0
         if share >= need - 1e-5 and (need < 1 or all(part.answered for part in query.parts)):
             return self._conclude(query, True)
@@ -259,7 +234,7 @@
                 part.dropped |= not part.attempts
         open_parts = [p for p in query.parts if not p.answered and not p.dropped]
         reachable = share + sum(p.weight for p in open_parts)
-        if floor < need and share >= floor and (not open_parts or self.now >= self._answer_by(query, query.step)):
+        if floor < need and share >= floor and (not open_parts or self.now >= self._answer_by(query)):
             return self._conclude(query, False)
         unsent = sum(not p.attempts for p in open_parts)
         if (reachable < floor - 1e-5 or self.now >= query.dead_at
@@ -270,23 +245,12 @@
                 return self._give_up(query)
             self._at(min(self.now + RECHECK, query.dead_at), self._review, query)
 
-    # --- the ledger and the guard --------------------------------------------
-
-    def _count_taken(self, number: int) -> None:
-        self.taken.append((self.now, number))
-        self.taken_sum += number
-
     def _ledger_allows(self, hedge: bool) -> bool:
         """Rule 6: hedges and retries of any window, together, within the told budget."""
         if self.cfg.budget_window is None:
             return True
-        edge = self.now - self.cfg.budget_window
-        while self.taken and self.taken[0][0] <= edge:
-            self.taken_sum -= self.taken.popleft()[1]
-        while self.extras and self.extras[0] < edge:
-            self.extras.popleft()
-        allowed = self.cfg.budget_floor + self.cfg.budget_share * self.taken_sum
-        return len(self.extras) + 1 <= (HEDGE_LEDGER * allowed if hedge else allowed)
+        allowed = self.cfg.budget_floor + self.cfg.budget_share * self.taken.total(self.now)
+        return self.extras.total(self.now) + 1 <= (HEDGE_LEDGER * allowed if hedge else allowed)
 
     def _may_send(self, part: Part, server: Server, hedge: bool) -> bool:
         """Every send passes here: the rules that bind it, in one place."""
@@ -296,7 +260,7 @@
         if server.status is not Status.READY or len(part.attempts) >= self.cfg.attempts_cap:  # rule 3
             return False
         if query.cls.effect is not Effect.SAFE:  # rule 2
-            ran = [a for a in part.attempts if a.outcome is None or not a.outcome.never_ran]
+            ran = [a for a in part.attempts if a.may_have_run]
             keyed = query.cls.effect is Effect.KEYED and not hedge
             if ran and not (keyed and self.now < ran[0].sent + query.cls.dedup_window - 2 * self.cfg.tick):
                 return False
@@ -306,16 +270,8 @@
 
     def _cold_room(self, server: Server) -> bool:
         """Rule 4: what warm servers are seen to bear, scaled by the least warmth, bounds a cold one."""
-        edge = self.now - self.cfg.cold_window
-        while server.sent_at and server.sent_at[0] <= edge:
-            server.sent_at.popleft()
         room = COLD_PART * self.cfg.cold_multiple * self._warmth(server) * self.borne
-        return len(server.sent_at) + 1 <= max(room, 1.0)
-
-    # --- turns ---------------------------------------------------------------
-
-    def _flagged(self, server: Server) -> bool:
-        return server.overdue > 0 or self.now < server.flag_until
+        return server.sends.total(self.now) + 1 <= max(room, 1.0)
 
     def _pick(self, part: Part, mates: list[Server], hedge: bool = False) -> Server | None:
         """The next replica in turn that is not overdue; if all are, the next in turn."""
@@ -332,8 +288,8 @@
         turn = self.turns.setdefault(part.cell, self.rng.randrange(1 << 16))
         order = [(turn + offset + 1, ring[(turn + offset) % len(ring)]) for offset in range(len(ring))]
         order = [pair for pair in order if pair[1] not in tried]
-        order = [pair for pair in order if not self._flagged(pair[1])] or order
-        order.sort(key=lambda pair: self._warmth(pair[1]) < self.rng.random())  # a cold server's share of the turns
+        order = [pair for pair in order if not pair[1].flagged(self.now)] or order
+        order.sort(key=lambda pair: self._warmth(pair[1]) < self.rng.random())  # the cold last
         for following, server in order:
             if self._has_room(server, part.spare, True) and self._may_send(part, server, hedge):
                 self.turns[part.cell] = following
@@ -344,7 +300,7 @@
         if server.backoff:  # silent when last tried: one trial at a time
             return not server.out
         window = int(server.window * (SPARE_ROOM if spare else 1.0))
-        if new_call and self.cfg.call_work and server.out:  # a call costs work: wait for room for several parts
+        if new_call and self.cfg.call_work and server.out:  # wait for room for several
             window -= min(REFILL, window // 2)
         return server.out < window
 
@@ -357,49 +313,40 @@
         for part in self.waiting:
             if part.dropped or part.answered or part.query.ended:
                 continue
-            server = None
-            if part.cell not in full or part.attempts:
-                server = self._pick(part, called)
-                if server is not None:
-                    if self.cfg.call_work and server not in called:
-                        called.append(server)
-                    self._send(part, server)
-                elif not part.attempts:
-                    full.add(part.cell)
-            if server is None:
-                keep.append(part)
+            server = self._pick(part, called) if part.cell not in full or part.attempts else None
+            if server is not None:
+                if self.cfg.call_work and server not in called:
+                    called.append(server)
+                self._send(part, server)
+                continue
+            keep.append(part)
+            if not part.attempts:
+                full.add(part.cell)
         self.waiting = keep
 
     def _send(self, part: Part, server: Server) -> None:
         if part.attempts:
-            self.extras.append(self.now)
+            self.extras.add(self.now)
         attempt = Attempt(part, len(part.attempts), server, self.now, self._timer(part.query.cls, server))
         part.attempts.append(attempt)
         part.query.started = True
         self.out[part.id, attempt.number] = attempt
         server.out += 1
-        server.sent_at.append(self.now)
-        if self._warmth(server) >= 1.0:
-            server.sent_at.clear()
+        server.sends.add(self.now)
         self.parts_sent += len(part.attempts) == 1
-        self._do(io.Send(part.id, server.id, 0.0))
+        self.actions.append(io.Send(part.id, server.id, 0.0))
         self._at(self.now + attempt.timer, self._timer_fired, attempt)
 
-    # --- timer, tokens, copies -----------------------------------------------
-
     def _timer(self, cls: io.QueryClass, server: Server) -> float:
         """That server's p90, or the aggregator's; bounded by the aggregator's."""
         overall = self.all.read(self.now)[1]
-        if not overall:
-            return max(BLIND_TIMER * cls.aim, MIN_TIMER)
         own = server.sketch.read(self.now)[1] if server.sketch.count(self.now) >= ENOUGH else overall
-        return max(min(own, FLEET_TIMER * overall, BLIND_TIMER * cls.aim), MIN_TIMER)
+        return max(min(own, FLEET_TIMER * overall, BLIND_TIMER * cls.aim) or BLIND_TIMER * cls.aim, MIN_TIMER)
 
     def _timer_fired(self, attempt: Attempt) -> None:
         if attempt.outcome is not None:
             return
-        attempt.fired = True
-        attempt.server.overdue += 1
+        attempt.fired, attempt.server.overdue = True, attempt.server.overdue + 1
         if not attempt.part.query.ended and attempt.part.query.cls.effect is Effect.SAFE:
             self.hungry.append(attempt)
             self._at(attempt.sent + STRAND_TIMERS * attempt.timer, self._stranded, attempt)
@@ -415,40 +362,33 @@
         else:
             self._at(self.now + attempt.timer, self._stranded, attempt)
 
-    def _refill(self) -> None:
-        seconds = max((self.now - self.began) / 1000.0, 1.0)
-        rate = max(self.parts_sent / seconds, 1.0)
-        share = TOKEN_SHARE if self.cfg.budget_share is None else min(TOKEN_SHARE, self.cfg.budget_share)
-        refill = rate * share
-        self.tokens = min(self.tokens + refill * (self.now - self.token_at) / 1000.0, max(refill, 1.0))
-        self.token_at = self.now
-
     def _send_copies(self) -> None:
         """Tokens go first to the query nearest to being whole; one that is lost gets none."""
-        self._refill()
+        rate = max(self.parts_sent / max((self.now - self.began) / 1000.0, 1.0), 1.0)
+        told = self.cfg.budget_share
+        refill = rate * (TOKEN_SHARE if told is None else min(TOKEN_SHARE, told))
+        self.tokens = min(self.tokens + refill * (self.now - self.token_at) / 1000.0, max(refill, 1.0))
+        self.token_at = self.now
         self.hungry = [a for a in self.hungry if a.outcome is None and not a.cancelled and not a.part.answered
                        and not a.part.dropped and not a.part.query.ended]
-        if self.tokens < 1.0 or not self.hungry or not self.cfg.second_copies:
+        if not self.cfg.second_copies:
             return
         quick = self.all.read(self.now)[0]
         missing = {a.part.query: sum(not p.answered for p in a.part.query.parts) for a in self.hungry}
         self.hungry.sort(key=lambda a: (missing[a.part.query], -a.part.query.cls.worth, a.sent))
-        for attempt in list(self.hungry):
+        for attempt in self.hungry[:]:
             part = attempt.part
-            if self.tokens < 1.0:
-                break
-            if self.now + quick > part.query.aim_at or sum(a.outcome is None for a in part.attempts) > 1:
+            twins = sum(a.outcome is None for a in part.attempts)
+            if self.tokens < 1.0 or self.now + quick > part.query.aim_at or twins > 1:
                 continue
             server = self._pick(part, [], hedge=True)
-            if server is not None and not self._flagged(server):
+            if server is not None and not server.flagged(self.now):
                 self.tokens -= 1.0
                 attempt.hedged = True
                 self.hungry.remove(attempt)
                 self._send(part, server)
 
-    # --- attempts end --------------------------------------------------------
-
-    def _attempt_ended(self, event: io.AttemptEnded) -> None:
+    def _ended(self, event: io.AttemptEnded) -> None:
         attempt = self.out.pop((event.part, event.attempt), None)
         if attempt is None:
             return
@@ -485,10 +425,8 @@
         self.all.add(self.now, took)
         server.backoff, server.flag_until = 0.0, float("-inf")
         if self._warmth(server) >= 1.0:
-            server.answers.append(self.now)
-            while server.answers[0] <= self.now - self.cfg.cold_window:
-                server.answers.popleft()
-            self.borne = max(self.borne, float(len(server.answers)))
+            server.answers.add(self.now)
+            self.borne = max(self.borne, server.answers.total(self.now))
         target = max(SLOW_SHARE * self.shortest_aim, SLOW_FACTOR * self.all.read(self.now)[0])
         if took > target:
             self._cut(server)
--- a/tansycrank/interface.py
+++ b/tansycrank/interface.py
@@ -74,7 +74,9 @@
         if self.aim > self.give_up:
             raise ValueError(f"aim: {self.aim} is longer than give_up {self.give_up}")
         if self.floor > self.whole_at or self.whole_at > 1:
-            raise ValueError(f"floor: {self.floor} must be at most whole_at {self.whole_at}, and that at most 1")
+            raise ValueError(
+                f"floor: {self.floor} must be at most whole_at {self.whole_at}, and that at most 1"
+            )
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,10 +122,36 @@
     def __post_init__(self) -> None:
         if not self.classes:
             raise ValueError("classes: at least one is needed")
-        _positive(self, "routers", "zones", "tick", "shards", "cells", "reach", "call_parts", "attempts_cap",
-                  "open_cap", "ask_every", "cold_multiple", "cold_window")
-        _not_negative(self, "me", "zone", "call_work", "hold_off_max", "answer_grace", "drain_grace", "cold_from",
-                      "cold_time", "price_crossing", "price_waste", "price_probe", "price_late_fail")
+        _positive(
+            self,
+            "routers",
+            "zones",
+            "tick",
+            "shards",
+            "cells",
+            "reach",
+            "call_parts",
+            "attempts_cap",
+            "open_cap",
+            "ask_every",
+            "cold_multiple",
+            "cold_window",
+        )
+        _not_negative(
+            self,
+            "me",
+            "zone",
+            "call_work",
+            "hold_off_max",
+            "answer_grace",
+            "drain_grace",
+            "cold_from",
+            "cold_time",
+            "price_crossing",
+            "price_waste",
+            "price_probe",
+            "price_late_fail",
+        )
         if self.me >= self.routers:
             raise ValueError(f"me: {self.me} is not below routers {self.routers}")
         if self.reach > self.cells:
@@ -254,8 +282,17 @@
     data: bytes
 
 
-Event = (ServerList | QueryArrived | PartArrived | AttemptEnded | AnswerBegan | QueryGone | Woken | ProbeEnded
-         | PeerSaid)
+Event = (
+    ServerList
+    | QueryArrived
+    | PartArrived
+    | AttemptEnded
+    | AnswerBegan
+    | QueryGone
+    | Woken
+    | ProbeEnded
+    | PeerSaid
+)
 
 
 # --- actions ----------------------------------------------------------------
@@ -350,4 +387,4 @@
     text: str
 
 
-Action = (Send | Cancel | Answer | Shed | Fail | Wake | Watch | FetchList | Probe | CloseIdle | TellPeer | Note)
+Action = Send | Cancel | Answer | Shed | Fail | Wake | Watch | FetchList | Probe | CloseIdle | TellPeer | Note
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -46,6 +46,26 @@
             self._turned = now
 
 
+class SlidingSum:
+    """What was added within the last `span` milliseconds."""
+
+    def __init__(self, span: float) -> None:
+        self._span = span
+        self._entries: deque[tuple[float, int]] = deque()
+        self._sum = 0
+
+    def add(self, now: float, number: int = 1) -> None:
+        """Add at this time."""
+        self._entries.append((now, number))
+        self._sum += number
+
+    def total(self, now: float) -> int:
+        """The sum of what is younger than the span."""
+        while self._entries and self._entries[0][0] <= now - self._span:
+            self._sum -= self._entries.popleft()[1]
+        return self._sum
+
+
 @dataclass(slots=True, eq=False)
 class Server:
     """What this router knows of one server."""
@@ -57,14 +77,18 @@
     came_up: float
     window: float
     sketch: LatencyWindow
+    sends: SlidingSum
+    answers: SlidingSum
     out: int = 0
     overdue: int = 0
     last_cut: float = 0.0
     last_answer: float = float("-inf")
     flag_until: float = float("-inf")
     backoff: float = 0.0
-    sent_at: deque = field(default_factory=deque)
-    answers: deque = field(default_factory=deque)
+
+    def flagged(self, now: float) -> bool:
+        """Whether a part of ours is overdue here, or a trial is not yet due."""
+        return self.overdue > 0 or now < self.flag_until
 
 
 @dataclass(slots=True, eq=False)
@@ -112,3 +136,8 @@
     hedged: bool = False
     cancelled: bool = False
     outcome: Outcome | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether nothing proves yet that it did not."""
+        return self.outcome is None or not self.outcome.never_ran
--- a/tansycrank/wire.py
+++ b/tansycrank/wire.py
@@ -31,15 +31,38 @@
     ABORTED: struct.Struct("<xHQ"),
     PROBE_RESULT: struct.Struct("<xHBIdB4f"),
 }
-(DROP_ATTEMPT, SIGNAL, SHED, CONCLUDE, REPORT_FAILURE, NOTE_DOWN, BROKEN, SAMPLE, RELOAD, OBSERVE, CLOSE_IDLE,
- WAKE_ME, SUBMIT_TO) = range(65, 78)
+(
+    DROP_ATTEMPT,
+    SIGNAL,
+    SHED,
+    CONCLUDE,
+    REPORT_FAILURE,
+    NOTE_DOWN,
+    BROKEN,
+    SAMPLE,
+    RELOAD,
+    OBSERVE,
+    CLOSE_IDLE,
+    WAKE_ME,
+    SUBMIT_TO,
+) = range(65, 78)
 OUTCOMES = {
-    10: io.Outcome.ANSWERED, 20: io.Outcome.ERROR, 30: io.Outcome.REJECTED, 40: io.Outcome.TIMED_OUT,
-    50: io.Outcome.UNCONNECTED, 60: io.Outcome.BROKEN_OFF, 70: io.Outcome.CANCELLED, 80: io.Outcome.NOT_SENT,
+    10: io.Outcome.ANSWERED,
+    20: io.Outcome.ERROR,
+    30: io.Outcome.REJECTED,
+    40: io.Outcome.TIMED_OUT,
+    50: io.Outcome.UNCONNECTED,
+    60: io.Outcome.BROKEN_OFF,
+    70: io.Outcome.CANCELLED,
+    80: io.Outcome.NOT_SENT,
 }
 STATUSES = {0: io.Status.GONE, 1: io.Status.DRAINING, 2: io.Status.READY}
 LIST_KINDS = {0: io.ListKind.FULL, 1: io.ListKind.FAILED, 2: io.ListKind.CHANGES, 3: io.ListKind.CACHED}
-EFFECTS = {"read_like": io.Effect.SAFE, "idempotency_key": io.Effect.KEYED, "non_idempotent": io.Effect.UNSAFE}
+EFFECTS = {
+    "read_like": io.Effect.SAFE,
+    "idempotency_key": io.Effect.KEYED,
+    "non_idempotent": io.Effect.UNSAFE,
+}
 REPEAT_BIT = 2
 
 
@@ -104,8 +127,15 @@
             return _request(fields)
         if code == DONE:
             part, attempt, server, ended, took, closed, count, *load = fields
-            return io.AttemptEnded(part, attempt, server, _known(OUTCOMES, ended, "disposition", where), took,
-                                   bool(closed), tuple(load[:count]))
+            return io.AttemptEnded(
+                part,
+                attempt,
+                server,
+                _known(OUTCOMES, ended, "disposition", where),
+                took,
+                bool(closed),
+                tuple(load[:count]),
+            )
         if code == RING:
             return io.Woken(*fields)
         if code == ABORTED:
@@ -126,7 +156,9 @@
             return Killed()
         if code == PROBE_RESULT:
             ended, server, took, count, *load = fields
-            return io.ProbeEnded(server, _known(OUTCOMES, ended, "disposition", where), took, tuple(load[:count]))
+            return io.ProbeEnded(
+                server, _known(OUTCOMES, ended, "disposition", where), took, tuple(load[:count])
+            )
         if code == FROM_PEER:
             peer, offset, length = fields
             return io.PeerSaid(peer, _slice(tail, offset, length, where))
@@ -144,14 +176,18 @@
 def _request(fields: tuple) -> object:
     job, measure, _work, _customer, number, query_class, key, left, options, shard = fields
     if shard < 0:
-        return io.QueryArrived(job, int(number), query_class, left, int(measure), key, bool(options & REPEAT_BIT))
+        return io.QueryArrived(
+            job, int(number), query_class, left, int(measure), key, bool(options & REPEAT_BIT)
+        )
     return io.PartArrived(job, int(number), int(shard), measure, key)
 
 
 def _slice(tail: bytes, offset: int, length: int, where: str) -> bytes:
     if offset + length > len(tail):
-        raise FrameError(f"{where}: bytes {offset} to {offset + length} lie beyond the tail of {len(tail)} bytes")
-    return tail[offset:offset + length]
+        raise FrameError(
+            f"{where}: bytes {offset} to {offset + length} lie beyond the tail of {len(tail)} bytes"
+        )
+    return tail[offset : offset + length]
 
 
 def _known(table: dict, value: int, field: str, where: str) -> object:
@@ -193,7 +229,9 @@
         case io.CloseIdle(server):
             return struct.pack("<BHI", CLOSE_IDLE, instance, server)
         case io.TellPeer(peer, data):
-            code = struct.pack("<BHIII", SIGNAL, instance, EVERY_PEER if peer is None else peer, len(tail), len(data))
+            code = struct.pack(
+                "<BHIII", SIGNAL, instance, EVERY_PEER if peer is None else peer, len(tail), len(data)
+            )
             tail += data
             return code
         case io.Note(text):
@@ -221,21 +259,39 @@
     budget = "repeatRatio" in rules.raw
     return io.Settings(
         classes=tuple(_class(family, node, index) for index, node in enumerate(root.items("services"))),
-        me=root["me"], routers=root["replicasOfMe"], zone=root["zone"], zones=len(root["localities"]),
+        me=root["me"],
+        routers=root["replicasOfMe"],
+        zone=root["zone"],
+        zones=len(root["localities"]),
         tick=root["step"],
-        shards=family["slabs"], cells=family["positions"], reach=family["inARow"],
-        call_parts=family["bundleMax"], call_work=family["perCallWork"],
-        attempts_cap=caps["attemptsCap"], second_copies=caps["secondCopies"], can_cancel=caps["cancel"],
-        can_probe=caps["mayProbe"], can_tell_peers=caps["peers"], can_hold_off=caps["retryAfter"],
-        hold_off_max=caps["maxRetryAfter"], marks_repeats=root["clients"]["marksRetry"], open_cap=caps["openCap"],
-        must_ask=root["discovery"] == "ask", ask_every=rules["askEvery"],
-        answer_grace=rules["graceToAnswer"], drain_grace=rules["stopSendingWithin"],
-        cold_multiple=rules["overloadFactor"], cold_window=rules["fall"], cold_from=rules["coldFrom"],
+        shards=family["slabs"],
+        cells=family["positions"],
+        reach=family["inARow"],
+        call_parts=family["bundleMax"],
+        call_work=family["perCallWork"],
+        attempts_cap=caps["attemptsCap"],
+        second_copies=caps["secondCopies"],
+        can_cancel=caps["cancel"],
+        can_probe=caps["mayProbe"],
+        can_tell_peers=caps["peers"],
+        can_hold_off=caps["retryAfter"],
+        hold_off_max=caps["maxRetryAfter"],
+        marks_repeats=root["clients"]["marksRetry"],
+        open_cap=caps["openCap"],
+        must_ask=root["discovery"] == "ask",
+        ask_every=rules["askEvery"],
+        answer_grace=rules["graceToAnswer"],
+        drain_grace=rules["stopSendingWithin"],
+        cold_multiple=rules["overloadFactor"],
+        cold_window=rules["fall"],
+        cold_from=rules["coldFrom"],
         cold_time=rules["cold"],
         budget_floor=rules["extraFloor"] if budget else None,
         budget_share=rules["repeatRatio"] if budget else None,
         budget_window=rules["countedOver"] if budget else None,
-        price_crossing=prices["crossZone"], price_waste=prices["waste"], price_probe=prices["probe"],
+        price_crossing=prices["crossZone"],
+        price_waste=prices["waste"],
+        price_probe=prices["probe"],
         price_late_fail=prices["lateFail"],
     )
 
@@ -250,9 +306,16 @@
     if node["effect"] not in EFFECTS:
         raise ValueError(f"{node.path}.effect: unknown word {node['effect']!r}")
     return io.QueryClass(
-        aim=node["aim"], give_up=node["giveUp"], worth=node["points"], late_worth=node["lateWorth"],
-        effect=EFFECTS[node["effect"]], dedup_window=node["window"], floor=per_class("minShare"),
-        whole_at=per_class("wholeAt"), short_worth=per_class("shortWorth"), follow_up=per_class("followUp"),
+        aim=node["aim"],
+        give_up=node["giveUp"],
+        worth=node["points"],
+        late_worth=node["lateWorth"],
+        effect=EFFECTS[node["effect"]],
+        dedup_window=node["window"],
+        floor=per_class("minShare"),
+        whole_at=per_class("wholeAt"),
+        short_worth=per_class("shortWorth"),
+        follow_up=per_class("followUp"),
     )
 
 
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,6 @@
+"""Makes the package and the test helpers importable from a clean checkout."""
+
+import sys
+from pathlib import Path
+
+sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent)]
--- /dev/null
+++ b/tests/test_design.py
@@ -0,0 +1,264 @@
+"""The five points of the design, and the exceptions to it."""
+
+import pytest
+from helpers import Bench, listed, of, settings
+
+from tansycrank import interface as io
+from tansycrank.brain import Router
+from tansycrank.interface import Outcome
+from tansycrank.state import LatencyWindow, SlidingSum
+
+
+def test_point_1_two_sketches_rotate_and_are_merged_on_read():
+    window = LatencyWindow(1000.0, 0.0, (0.5,))
+    for t in range(10):
+        window.add(float(t), 100.0)
+    window.add(1100.0, 10.0)
+    assert window.count(1100.0) == 11
+    assert window.read(1100.0)[0] == pytest.approx(100.0, rel=0.02)
+    assert window.count(2200.0) == 1
+    assert window.read(2200.0)[0] == pytest.approx(10.0, rel=0.02)
+    assert window.count(9000.0) == 0
+
+
+def test_point_2_parts_go_by_turns():
+    bench = Bench(settings())
+    servers = []
+    for _ in range(6):
+        _, (part,), _ = bench.query()
+        servers.append(bench.attempts[part][0][1])
+        bench.end(part, after=50)
+    assert servers[:3] == servers[3:] and len(set(servers[:3])) == 3
+
+
+def test_point_2_a_server_whose_part_is_overdue_is_skipped_unless_all_are():
+    bench = Bench(settings(second_copies=False))
+    bench.teach()
+    _, (slow,), _ = bench.query()
+    sick = bench.attempts[slow][0][1]
+    bench.run(300)
+    for _ in range(6):
+        _, (part,), _ = bench.query()
+        assert bench.attempts[part][0][1] != sick
+        bench.end(part, after=20)
+    parts = [bench.query()[1][0] for _ in range(2)]
+    bench.run(300)
+    assert len({bench.attempts[p][0][1] for p in parts} | {sick}) == 3
+    _, (part,), _ = bench.query()
+    assert part in bench.attempts
+
+
+def test_point_3_timer_is_blind_then_overall_then_the_servers_own():
+    bench = Bench(settings())
+    assert not of(io.Send, bench.query()[2][1:])
+    part = next(iter(bench.attempts))
+    bench.run(330)
+    assert len(bench.attempts[part]) == 1
+    bench.run(20)  # a third of the aim
+    assert len(bench.attempts[part]) == 2
+    bench = Bench(settings())
+    bench.teach(took=60.0, answers=100)
+    _, (part,), _ = bench.query()
+    bench.run(50)
+    assert len(bench.attempts[part]) == 1
+    bench.run(20)
+    assert len(bench.attempts[part]) == 2
+
+
+def test_point_4_copies_stay_near_a_tenth_of_parts():
+    bench = Bench(settings(), servers=range(1, 9))
+    for _ in range(200):
+        _, (part,), _ = bench.query()
+        bench.run(400)  # every part is slow
+        bench.end(part, 0)
+    copies = sum(len(sends) - 1 for sends in bench.attempts.values())
+    assert 5 <= copies <= 200 * 0.1 + 85 * 0.1 + 2
+
+
+def test_point_4_the_bucket_never_exceeds_a_told_budget():
+    bench = Bench(settings(budget_floor=0.0, budget_share=0.0, budget_window=1000.0))
+    _, (part,), _ = bench.query()
+    bench.run(900)
+    assert len(bench.attempts[part]) == 1
+
+
+def test_point_5_the_copy_goes_elsewhere_the_first_answer_wins_the_twin_is_cancelled():
+    bench = Bench(settings())
+    query, (part,), _ = bench.query()
+    bench.run(400)
+    (_, first), (_, second) = bench.attempts[part]
+    assert first != second
+    acted = bench.end(part, 1)
+    assert io.Answer(query, True) in acted and io.Cancel(part, 0) in acted
+    assert not of(io.Answer, bench.end(part, 0))  # a late twin changes nothing
+    assert not bench.router.out and not bench.router.parts and not bench.router.queries
+
+
+def test_a_slow_servers_own_percentile_does_not_delay_its_hedge():
+    bench = Bench(settings(), servers=(1, 2))
+    for _ in range(60):
+        _, (part,), _ = bench.query()
+        bench.end(part, after=900 if bench.attempts[part][0][1] == 1 else 50)
+    timer = bench.router._timer(bench.router.cfg.classes[0], bench.router.servers[1])
+    assert timer <= 1000 / 3 + 1
+
+
+def test_a_line_forms_when_all_windows_are_full_and_oldest_go_first():
+    bench = Bench(settings(), servers=(1,))
+    parts = [bench.query()[1][0] for _ in range(12)]
+    assert set(bench.attempts) == set(parts[:6])
+    bench.end(parts[0], after=50)
+    assert parts[6] in bench.attempts and parts[7] not in bench.attempts
+
+
+def test_a_query_that_could_not_start_is_refused_early_with_a_time_to_come_back():
+    bench = Bench(settings(can_hold_off=True, hold_off_max=100.0), servers=(1,))
+    for _ in range(6):
+        bench.query()
+    late, _, _ = bench.query()
+    acted = bench.run(500)
+    assert io.Shed(late, 100.0) in acted
+
+
+def test_a_silent_server_gets_one_trial_at_a_time():
+    bench = Bench(settings(), servers=(1, 2))
+    bench.teach(gap=0.0)
+    _, (part,), _ = bench.query()
+    down = bench.attempts[part][0][1]
+    bench.end(part, 0, Outcome.UNCONNECTED)
+    bench.end(part)
+    bench.run(1100)
+    parts = [bench.query()[1][0] for _ in range(9)]
+    tried = [bench.attempts[part][0][1] for part in parts if part in bench.attempts]
+    assert tried.count(down) == 1 and len(tried) > 4
+
+
+def test_parts_stranded_at_a_silent_server_are_moved_while_others_answer():
+    bench = Bench(settings(second_copies=False), servers=(1, 2))
+    bench.teach()
+    _, (part,), _ = bench.query()
+    bench.end(bench.query()[1][0], after=20)
+    acted = bench.run(500)
+    assert io.Cancel(part, 0) in acted
+    bench.end(part, 0, Outcome.CANCELLED)
+    assert bench.attempts[part][0][1] != bench.attempts[part][1][1]
+
+
+def test_a_stall_of_the_whole_fleet_moves_nothing():
+    bench = Bench(settings(second_copies=False), servers=(1, 2))
+    bench.teach()
+    parts = [bench.query()[1][0] for _ in range(2)]
+    assert not of(io.Cancel, bench.run(700))
+    assert all(len(bench.attempts[p]) == 1 for p in parts)
+
+
+def test_where_calls_cost_work_a_busy_server_is_refilled_several_parts_at_a_time():
+    bench = Bench(settings(call_work=50.0, call_parts=8), servers=(1,))
+    parts = [bench.query()[1][0] for _ in range(20)]
+    calls = [len(of(io.Send, bench.end(part, after=5))) for part in parts[:7]]
+    assert calls == [3, 0, 0, 3, 0, 0, 3]
+
+
+def test_own_zone_gets_more_turns_only_where_crossing_is_priced():
+    for price, most in ((0.04, 40), (0.0, 20)):
+        bench = Bench(
+            settings(price_crossing=price, zones=3), servers=[listed(s, zone=s - 1) for s in (1, 2, 3)]
+        )
+        near = 0
+        for _ in range(60):
+            _, (part,), _ = bench.query()
+            near += bench.attempts[part][0][1] == 1
+            bench.end(part, after=50)
+        assert near == most
+
+
+def test_discovery_is_asked_at_start_and_again_after_a_failure():
+    bench = Bench(settings(must_ask=True))
+    assert io.Watch(True) in bench.done[0][1]
+    bench.step(io.ServerList(io.ListKind.FAILED))
+    assert not of(io.Watch, bench.done[-1][1])
+    assert of(io.Watch, bench.run(400))
+
+
+def test_a_restarted_server_drops_its_old_record():
+    bench = Bench(settings(), servers=(1,))
+    bench.teach()
+    bench.step(io.ServerList(io.ListKind.CHANGES, (listed(1, came_up=bench.now),)))
+    assert bench.router.servers[1].sketch.count(bench.now) == 0
+
+
+def test_a_query_past_its_aim_is_given_up_at_once_when_nothing_can_be_earned():
+    cls = io.QueryClass(aim=1000.0, give_up=4000.0, worth=1.0, late_worth=0.0)
+    bench = Bench(settings(cls))
+    query, _, _ = bench.query()
+    acted = bench.run(1000)
+    assert [a.query for a in of(io.Shed, acted)] == [query]
+
+
+def test_unknown_ids_and_clients_gone_are_quiet_and_leak_nothing():
+    bench = Bench(settings())
+    assert not bench.step(
+        io.QueryGone(5),
+        io.PartArrived(6, 77, 0, 1.0),
+        io.ProbeEnded(9, Outcome.ANSWERED, 1.0),
+        io.PeerSaid(1, b"x"),
+        io.AttemptEnded(6, 0, 1, Outcome.ANSWERED, 1.0),
+    )
+    query, (part,), _ = bench.query()
+    assert io.Cancel(part, 0) in bench.step(io.QueryGone(query))
+    bench.end(part, 0, Outcome.CANCELLED)
+    bench.run(5000)
+    router = bench.router
+    assert not (
+        router.queries or router.numbers or router.parts or router.out or router.waiting or router.hungry
+    )
+    assert not router.agenda
+
+
+def test_same_events_and_seed_give_the_same_actions():
+    def play():
+        bench = Bench(settings(price_crossing=0.1), seed=11)
+        for index in range(40):
+            _, (part,), _ = bench.query()
+            bench.run(30)
+            bench.end(part, 0, Outcome.ERROR if index % 7 == 3 else Outcome.ANSWERED)
+        return [actions for _, actions in bench.done]
+
+    assert play() == play()
+
+
+def test_sliding_sum_forgets_what_is_older_than_its_span():
+    total = SlidingSum(100.0)
+    total.add(0.0)
+    total.add(60.0, 2)
+    assert (total.total(99.0), total.total(100.0), total.total(200.0)) == (3, 2, 0)
+
+
+@pytest.mark.parametrize(
+    "field, value",
+    [
+        ("routers", 0),
+        ("me", 3),
+        ("reach", 9),
+        ("cold_from", 1.5),
+        ("attempts_cap", 0),
+        ("hold_off_max", -1.0),
+        ("budget_window", 100.0),
+    ],
+)
+def test_settings_name_the_field_that_is_wrong(field, value):
+    with pytest.raises(ValueError, match="budget_" if field == "budget_window" else field):
+        settings(**{field: value})
+
+
+def test_classes_name_the_field_that_is_wrong():
+    with pytest.raises(ValueError, match="aim"):
+        io.QueryClass(aim=-1.0, give_up=1.0, worth=1.0)
+    with pytest.raises(ValueError, match="floor"):
+        io.QueryClass(aim=1.0, give_up=1.0, worth=1.0, floor=0.9, whole_at=0.5)
+    with pytest.raises(ValueError, match="classes"):
+        io.Settings(classes=())
+
+
+def test_router_is_usable_without_any_event():
+    assert Router(settings(), 1).step(0.0, []) == []
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,137 @@
+"""Each of the six rules: a case that fails if its guard is taken out."""
+
+from helpers import Bench, listed, of, settings
+
+from tansycrank import interface as io
+from tansycrank.interface import Outcome
+
+UNSAFE = io.QueryClass(aim=1000.0, give_up=4000.0, worth=1.0, late_worth=0.5, effect=io.Effect.UNSAFE)
+KEYED = io.QueryClass(
+    aim=1000.0, give_up=8000.0, worth=1.0, late_worth=0.5, effect=io.Effect.KEYED, dedup_window=600.0
+)
+PARTIAL = io.QueryClass(aim=1000.0, give_up=4000.0, worth=1.0, floor=0.6, short_worth=0.9)
+
+
+def finals(bench):
+    return [a for _, actions in bench.done for a in actions if isinstance(a, io.Answer | io.Shed | io.Fail)]
+
+
+def test_rule_1_one_final_answer_in_time_and_no_part_after_it():
+    bench = Bench(settings())
+    query, parts, _ = bench.query(parts=3, time_left=900.0)
+    bench.run(3000)
+    assert [a.query for a in finals(bench)] == [query]
+    ended = next(t for t, actions in bench.done if of(io.Shed, actions) or of(io.Fail, actions))
+    assert ended <= 100_000.0 + 900.0
+    assert all(t <= ended for t, actions in bench.done if of(io.Send, actions))
+    for part in parts:  # late outcomes of an ended query start nothing
+        assert not of(io.Send, bench.end(part, 0, Outcome.BROKEN_OFF))
+
+
+def test_rule_1_parts_waiting_for_room_are_never_sent_after_the_client_left():
+    bench = Bench(settings(), servers=(1,))
+    first = [bench.query()[0] for _ in range(30)]
+    bench.step(*(io.QueryGone(q) for q in first))
+    sent = set(bench.attempts)
+    for part in list(sent):
+        bench.end(part, 0, Outcome.CANCELLED)
+    assert set(bench.attempts) == sent
+
+
+def test_rule_2_an_unsafe_part_that_may_have_run_is_failed_at_once():
+    for outcome in (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.BROKEN_OFF, Outcome.CANCELLED):
+        bench = Bench(settings(UNSAFE))
+        query, (part,), _ = bench.query()
+        assert bench.end(part, 0, outcome)[0:] and finals(bench) == [io.Fail(query)], outcome
+        assert len(bench.attempts[part]) == 1
+
+
+def test_rule_2_an_unsafe_part_that_never_ran_goes_elsewhere_and_is_never_hedged():
+    bench = Bench(settings(UNSAFE))
+    _, (part,), _ = bench.query()
+    bench.end(part, 0, Outcome.UNCONNECTED)
+    assert len({server for _, server in bench.attempts[part]}) == 2
+    bench.run(900)
+    assert len(bench.attempts[part]) == 2
+
+
+def test_rule_2_a_keyed_part_is_sent_again_only_within_its_window():
+    for wait, sends in ((100.0, 2), (700.0, 1)):
+        bench = Bench(settings(KEYED))
+        _, (part,), _ = bench.query(time_left=8000.0)
+        bench.run(wait)
+        bench.end(part, 0, Outcome.BROKEN_OFF)
+        bench.run(50)
+        assert len(bench.attempts[part]) == sends
+
+
+def test_rule_3_nothing_goes_to_a_server_told_to_drain_or_gone():
+    for status in (io.Status.DRAINING, io.Status.GONE):
+        bench = Bench(settings(), servers=(1, 2))
+        bench.step(io.ServerList(io.ListKind.CHANGES, (listed(1, status=status),)))
+        for _ in range(5):
+            _, (part,), _ = bench.query()
+            assert bench.attempts[part][0][1] == 2
+    bench.step(io.ServerList(io.ListKind.FULL, (listed(1),)))  # absent from a full list: removed
+    _, (part,), _ = bench.query()
+    assert bench.attempts[part][0][1] == 1
+
+
+def test_rule_4_a_cold_sole_replica_gets_no_more_than_its_share_of_a_burst():
+    bench = Bench(settings())
+    bench.teach(gap=0.0)
+    borne = bench.router.borne
+    assert borne > 3
+    bench.run(1100)
+    bench.step(io.ServerList(io.ListKind.FULL, (listed(1, came_up=bench.now),)))
+    before = set(bench.attempts)
+    for _ in range(60):
+        bench.query()
+    sent = len(set(bench.attempts) - before)
+    assert 1 <= sent <= 2.0 * 0.2 * borne  # multiple x least warmth x what a warm one bears
+    assert sent < bench.router.servers[1].window - 1  # it is the cold rule that binds, not the window
+
+
+def test_rule_5_never_below_the_floor_and_whole_only_if_whole():
+    bench = Bench(settings(PARTIAL, shards=3))
+    query, parts, _ = bench.query(parts=3, weights=[0.5, 0.3, 0.2])
+    bench.end(parts[0], 0)
+    bench.run(1200)
+    assert finals(bench) and not of(io.Answer, finals(bench))  # 0.5 is under the floor
+    bench = Bench(settings(PARTIAL, shards=3))
+    query, parts, _ = bench.query(parts=3, weights=[0.5, 0.3, 0.2])
+    bench.end(parts[0], 0)
+    bench.end(parts[1], 0)
+    bench.run(1200)
+    assert finals(bench) == [io.Answer(query, False)]
+
+
+def test_rule_5_a_second_step_on_a_short_first_one_is_not_whole():
+    cls = io.QueryClass(aim=1000.0, give_up=4000.0, worth=1.0, floor=0.6, short_worth=0.9, follow_up=1)
+    bench = Bench(settings(cls))
+    query, parts, _ = bench.query(parts=2, weights=[0.7, 0.3])
+    bench.end(parts[0], 0)
+    bench.run(1000)
+    if finals(bench) == [io.Answer(query, False)]:
+        bench.step(io.PartArrived(9, 1, 0, 1.0))
+        bench.end(9)
+        assert finals(bench) == [io.Answer(query, False)] * 2
+    else:
+        raise AssertionError(finals(bench))
+
+
+def test_rule_6_hedges_and_retries_share_one_budget():
+    cfg = settings(budget_floor=2.0, budget_share=0.1, budget_window=1000.0)
+    bench = Bench(cfg, servers=range(1, 9))
+    taken, extras = [], []
+    for _ in range(20):
+        _, (part,), _ = bench.query()
+        taken += [bench.now, bench.now]
+        bench.end(part, 0, Outcome.REJECTED)
+        bench.run(20)
+    for sends in bench.attempts.values():
+        extras += [t for t, _ in sends[1:]]
+    assert extras
+    for t in sorted(extras):
+        made = sum(t - 1000 < e <= t for e in extras)
+        assert made <= 2 + 0.1 * sum(t - 1000 < q <= t for q in taken)
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,240 @@
+"""The codec against the byte layouts of the wire page, and the host as a subprocess."""
+
+import json
+import struct
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from tansycrank import interface as io
+from tansycrank import wire
+
+ROOT = Path(__file__).parent.parent
+EMPTY = bytes.fromhex("1000000000000000206ec04000000000")
+THREE = bytes.fromhex(
+    "b8000000"
+    "00000000206ec040"
+    "03000000"
+    "050300c4913a5d13110a000000003e00000000000028400000000056430000640ad2557c3bf0910000000000006e400100000000"
+    "00000000"
+    "0803004d00000000000000" + "00" * 45 + "0a0500192b6f0ee9560000" + "00" * 45
+)
+INFO = {
+    "caps": {
+        "attemptsCap": 3,
+        "cancel": True,
+        "maxRetryAfter": 500.0,
+        "mayProbe": True,
+        "openCap": 109,
+        "peers": True,
+        "retryAfter": True,
+        "secondCopies": True,
+        "new": 1,
+    },
+    "clients": {"marksRetry": True},
+    "discovery": "push",
+    "familyInfo": {
+        "bundleMax": 1,
+        "followUp": [5],
+        "inARow": 1,
+        "minShare": [1.0],
+        "perCallWork": 0.0,
+        "positions": 1,
+        "shortWorth": [0.9],
+        "slabs": 2,
+        "wholeAt": [1.0],
+    },
+    "localities": ["a"],
+    "me": 0,
+    "replicasOfMe": 3,
+    "step": 5.0,
+    "zone": 0,
+    "unheardOf": {},
+    "prices": {"crossZone": 0.04, "lateFail": 0.08, "probe": 0.01, "waste": 0.03},
+    "rules": {
+        "askEvery": 10000.0,
+        "cold": 16000.0,
+        "coldFrom": 0.17,
+        "fall": 1500.0,
+        "graceToAnswer": 20.0,
+        "overloadFactor": 4.0,
+        "stopSendingWithin": 500.0,
+    },
+    "services": [
+        {
+            "aim": 4000.0,
+            "effect": "read_like",
+            "giveUp": 12000.0,
+            "lateWorth": 0.0,
+            "points": 2.0,
+            "window": 5000.0,
+        }
+    ],
+}
+
+
+def frame(*records, clock=5000.0, tail=b""):
+    body = b"".join(record.ljust(56, b"\0") for record in records) + tail
+    return struct.pack("<IdI", 16 + len(body), clock, len(records)) + body
+
+
+def attach(instance, info, at=0):
+    return struct.pack("<BHQII", 1, instance, 42, at, len(info))
+
+
+def request(instance, job, shard=-1.0, number=1, measure=1.0):
+    return struct.pack("<BHQfdHfHQdBf", 5, instance, job, measure, 0.0, 0, number, 0, 0, 9000.0, 0, shard)
+
+
+def begin(*instances):
+    """A frame that attaches instances, each with a list of one server."""
+    info = json.dumps(INFO).encode()
+    entry = struct.pack("<HfIBBdH", 0, 1.0, 77, 0, 2, 0.0, 0)
+    records = []
+    for instance in instances:
+        records += [
+            attach(instance, info),
+            struct.pack("<BBII", 7, 0, len(info), 1),
+            struct.pack("<BHBIB", 2, instance, 3, 1, 0),
+        ]
+    return frame(*records, tail=info + entry)
+
+
+def host(data):
+    return subprocess.run(
+        [sys.executable, "-m", "tansycrank.simhost"], input=data, capture_output=True, cwd=ROOT
+    )
+
+
+def replies(data):
+    found = []
+    while data:
+        size, count = struct.unpack_from("<II", data)
+        found.append([data[8 + 24 * i : 32 + 24 * i] for i in range(count)])
+        data = data[size:]
+    return found
+
+
+def test_the_pages_batches_are_read():
+    assert wire.Decoder().decode(EMPTY) == (8412.25, [])
+    clock, records = wire.Decoder().decode(THREE)
+    assert clock == 8412.25
+    (first, part), (_, ring), (last, gone) = records
+    assert (first, last) == (3, 5)
+    assert part == io.PartArrived(0x000A11135D3A91C4, 214, 0, 0.125, 0x91F03B7C55D20A64)
+    assert ring == io.Woken(77) and gone == io.QueryGone(0x000056E90E6F2B19)
+
+
+def test_the_pages_lists_are_read():
+    tail = bytes.fromhex(
+        "00000000803f074a120300020000000000000000000000000000c03ff211902c01020000000000d4b7400000"
+    )
+    data = frame(bytes.fromhex("07000000000002000000"), bytes.fromhex("020300032900000000"), tail=tail)
+    _, [(instance, event)] = wire.Decoder().decode(data)
+    assert instance == 3 and event.kind is io.ListKind.CACHED
+    assert event.entries[0] == io.Listed(0x03124A07, 0, 0, io.Status.READY, 0.0, 1.0)
+    assert event.entries[1].came_up == 6100.0 and event.entries[1].zone == 1
+
+
+def test_the_pages_outcomes_are_read():
+    done = bytes.fromhex("090300c4913a5d13110a0000074a12030a000000000080324001")
+    probe = bytes.fromhex("0b03000af211902c666666666666f63f0152b81e3f")
+    _, [(_, ended), (_, probed)] = wire.Decoder().decode(frame(done, probe))
+    assert ended == io.AttemptEnded(0x000A11135D3A91C4, 0, 0x03124A07, io.Outcome.ANSWERED, 18.5, True, ())
+    assert probed.server == 0x2C9011F2 and probed.load == (pytest.approx(0.62),)
+
+
+@pytest.mark.parametrize(
+    "action, record",
+    [
+        (io.Send(0x000A11135D3A91C4, 0x03124A07, 80.0), "4d0300c4913a5d13110a00074a12030000000000005440"),
+        (io.Wake(500.0, 77), "4c03000000000000407f404d00000000000000"),
+        (io.Cancel(0x000A11135D3A91C4, 0), "410300c4913a5d13110a0000"),
+        (io.Shed(0x000056E90E6F2B19, 250.0), "430300192b6f0ee95600000000000000406f40"),
+        (io.Fail(0x000056E90E6F2B19), "450300192b6f0ee9560000"),
+        (io.Answer(0x000056E90E6F2B19, True), "440300192b6f0ee956000001"),
+        (io.Probe(0x2C9011F2), "480300f211902c"),
+        (io.CloseIdle(0x2C9011F2), "4b0300f211902c"),
+        (io.FetchList(), "490300"),
+        (io.Watch(True), "4a030001"),
+    ],
+)
+def test_actions_are_written_as_on_the_page(action, record):
+    raw = bytes.fromhex(record).ljust(24, b"\0")
+    assert wire.encode([(3, action)]) == struct.pack("<II", 32, 1) + raw
+
+
+def test_texts_and_messages_go_to_the_tail():
+    note = wire.encode([(3, io.Note("two servers known"))])
+    assert (
+        note
+        == bytes.fromhex("31000000010000004603000000000011000000").ljust(32, b"\0") + b"two servers known"
+    )
+    told = wire.encode([(3, io.TellPeer(None, b"hi 7"))])
+    assert told[8:20].hex() == "420300ffffffff0000000004" and told.endswith(b"hi 7")
+
+
+@pytest.mark.parametrize(
+    "data, words",
+    [
+        (EMPTY[:9], "shorter than its header"),
+        (frame(b"\x63"), "unknown event code 99"),
+        (frame(b"\x08")[:40], "byte 0"),
+        (struct.pack("<IdI", 16, 1.0, 4), "byte 12"),
+        (frame(struct.pack("<BHBIB", 2, 1, 0, 1, 9)), "unknown buffer 9"),
+        (frame(struct.pack("<BHQII", 1, 1, 1, 0, 50)), "beyond the tail"),
+        (frame(bytes.fromhex("090300c4913a5d13110a0000074a12030b")), "unknown disposition 11"),
+    ],
+)
+def test_a_frame_that_cant_be_read_is_named(data, words):
+    with pytest.raises(wire.FrameError, match=words):
+        wire.Decoder().decode(data)
+
+
+def test_settings_are_read_and_a_missing_key_is_named():
+    cfg = wire.settings_from(json.dumps(INFO))
+    assert cfg.budget_window is None and cfg.classes[0].follow_up == 5 and not cfg.must_ask
+    for table, key in (("rules", "coldFrom"), ("caps", "openCap"), ("familyInfo", "slabs")):
+        broken = json.loads(json.dumps(INFO))
+        del broken[table][key]
+        with pytest.raises(ValueError, match=f"settings.{table}.{key}"):
+            wire.settings_from(json.dumps(broken))
+    broken = json.loads(json.dumps(INFO))
+    del broken["services"][0]["aim"]
+    with pytest.raises(ValueError, match=r"settings.services\[0\].aim"):
+        wire.settings_from(json.dumps(broken))
+
+
+def test_host_serves_several_instances_and_ends_quietly():
+    data = begin(1, 2) + frame(request(1, 10), request(1, 11, 0.0), request(2, 20), request(2, 21, 1.0))
+    ran = host(data)
+    assert ran.returncode == 0 and not ran.stderr
+    _, second = replies(ran.stdout)
+    assert sorted((r[1], r[3]) for r in second if r[0] == wire.SUBMIT_TO) == [(1, 11), (2, 21)]
+
+
+def test_host_forgets_a_killed_instance_and_attaches_it_anew():
+    data = begin(1) + frame(request(1, 10), request(1, 11, 0.0)) + frame(struct.pack("<BH", 3, 1))
+    data += begin(1) + frame(request(1, 12), request(1, 13, 0.0))
+    *_, killed, attached, last = replies(host(data).stdout)
+    assert killed == []
+    assert [r[3] for r in last if r[0] == wire.SUBMIT_TO] == [13]
+
+
+def test_host_reports_broken_for_one_instance_and_serves_the_others():
+    bad = b'{"caps": {}}'
+    data = begin(1) + frame(attach(2, bad), tail=bad) + frame(request(1, 10), request(1, 11, 0.0))
+    ran = host(data)
+    assert ran.returncode == 0
+    _, broken, served = replies(ran.stdout)
+    assert broken[0][0] == wire.BROKEN and b"required key is missing" in ran.stdout
+    assert any(r[0] == wire.SUBMIT_TO for r in served)
+
+
+@pytest.mark.parametrize("data", [frame(b"\x63"), EMPTY[:3], EMPTY[:9], b"\xff\xff\xff\xff"])
+def test_host_leaves_with_a_message_on_an_unreadable_frame(data):
+    ran = host(data)
+    assert ran.returncode == 2
+    assert b"unreadable frame" in ran.stderr and b"Traceback" not in ran.stderr
