--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -27,9 +27,9 @@
 WINDOW = (ROTATE, SKETCH_REFRESH, (QUICK_QUANTILE, TIMER_QUANTILE))
 WINDOW_START = 6.0  # parts of ours out at one server, to begin with
 WINDOW_CUT = 0.8  # multiplicative decrease, at most once in a target time
-SLOW_SHARE = 0.25  # of the shortest aim: an answer later than this says that the server's queue is too long
+SLOW_SHARE = 0.2  # of the shortest aim: an answer later than this says that the server's queue is too long
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
-START_SHARE = 0.3  # of the aim: what could not start by then is refused while a repeat can still pay
+START_SHARE = 0.4  # of the aim: what could not start by then is refused while a repeat can still pay
 SPARE_SHARE = 0.3  # of the aim: parts beyond the floor are given up after waiting so long for room
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
@@ -109,9 +109,9 @@
         for entry in event.entries:
             server = self.servers.get(entry.server)
             if server is None or entry.came_up > server.came_up:  # new or restarted: the old record is void
-                span = self.cfg.cold_window
+                span = self.cfg.cold_window + self.cfg.tick
                 fresh = Server(entry.server, entry.cell, entry.zone, entry.status, entry.came_up, WINDOW_START,
-                               LatencyWindow(*WINDOW), SlidingSum(span + self.cfg.tick), SlidingSum(span))
+                               LatencyWindow(*WINDOW), SlidingSum(span), SlidingSum(span))
                 if server is not None:
                     fresh.out, fresh.overdue, fresh.sends = server.out, server.overdue, server.sends
                     for attempt in self.out.values():
