--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -33,7 +33,7 @@
 SPARE_SHARE = 0.3  # of the aim: parts beyond the floor are given up after waiting so long for room
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
-SPARE_ROOM = 0.5  # of a server's window is open to them
+SPARE_ROOM = 0.5  # of a server's window is open to them, and to copies: under load a copy robs a first try
 TRIAL_FIRST, TRIAL_LAST = 1_000.0, 8_000.0  # ms until a silent server is tried again, doubling
 STRAND_TIMERS = 3.0  # timers after which a part at a server that went silent is moved by cancel and retry
 COLD_PART = 0.5  # of what the cold rule allows this router: slack for costly parts and for uneven routers
@@ -110,14 +110,14 @@
             server = self.servers.get(entry.server)
             if server is None or entry.came_up > server.came_up:  # new or restarted: the old record is void
                 span = self.cfg.cold_window + self.cfg.tick
-                fresh = Server(entry.server, entry.cell, entry.zone, entry.status, entry.came_up, WINDOW_START,
-                               LatencyWindow(*WINDOW), SlidingSum(span), SlidingSum(span))
+                new = Server(entry.server, entry.cell, entry.zone, entry.status, entry.came_up, WINDOW_START,
+                             LatencyWindow(*WINDOW), SlidingSum(span), SlidingSum(span))
                 if server is not None:
-                    fresh.out, fresh.overdue, fresh.sends = server.out, server.overdue, server.sends
+                    new.out, new.overdue, new.sends = server.out, server.overdue, server.sends
                     for attempt in self.out.values():
                         if attempt.server is server:
-                            attempt.server = fresh
-                self.servers[entry.server] = server = fresh
+                            attempt.server = new
+                self.servers[entry.server] = server = new
             server.status, server.cell, server.zone = entry.status, entry.cell, entry.zone
         self.rings = {}
 
@@ -291,7 +291,7 @@
         order = [pair for pair in order if not pair[1].flagged(self.now)] or order
         order.sort(key=lambda pair: self._warmth(pair[1]) < self.rng.random())  # the cold last
         for following, server in order:
-            if self._has_room(server, part.spare, True) and self._may_send(part, server, hedge):
+            if self._has_room(server, part.spare or hedge, not hedge) and self._may_send(part, server, hedge):
                 self.turns[part.cell] = following
                 return server
         return None
