--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -308,19 +308,24 @@
         """First tries and retries, oldest query first; what finds no room stays in line."""
         keep: list[Part] = []
         full: set[int] = set()
+        ready: dict[Query, bool] = {}
         self.waiting.sort(key=lambda p: (p.spare, p.query.born, p.query.number))
         called: list[Server] = []
         for part in self.waiting:
             if part.dropped or part.answered or part.query.ended:
                 continue
-            server = self._pick(part, called) if part.cell not in full or part.attempts else None
+            if part.query not in ready:
+                ready[part.query] = part.query.started or self.now > part.query.born + 0.2 * part.query.cls.aim or all(
+                    any(self._has_room(s, False) for s in self._ring(p.cell)) for p in part.query.parts if not p.spare)
+            tryable = ready[part.query] and part.cell not in full or part.attempts
+            server = self._pick(part, called) if tryable else None
             if server is not None:
                 if self.cfg.call_work and server not in called:
                     called.append(server)
                 self._send(part, server)
                 continue
             keep.append(part)
-            if not part.attempts:
+            if not part.attempts and ready[part.query]:
                 full.add(part.cell)
         self.waiting = keep
 
