Silence, not lateness, puts a server on trial; the silent are left out where all others are merely late

Cause: a cancelled late part set a server aside for seconds though it kept answering; under load that shut busy servers out, and where all replicas were late the turn fell on dead ones.

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -36,7 +36,7 @@
 SPARE_ROOM = 0.5  # of a server's window is open to them, and to copies: under load a copy robs a first try
 TRIAL_FIRST, TRIAL_LAST = 1_000.0, 8_000.0  # ms until a silent server is tried again, doubling
 STRAND_TIMERS = 3.0  # timers after which a part at a server that went silent is moved by cancel and retry
-COLD_PART = 0.5  # of what the cold rule allows this router: slack for costly parts and for uneven routers
+COLD_PART, COLD_PUSH = 0.8, 2.0  # of what the cold rule allows; times what a cold server can do at least
 HEDGE_LEDGER = 0.6  # of the told budget may go to hedges; the rest is kept for retries after a crash
 HOLD_OFF = 0.15  # of the aim: when a client that was turned away should come back
 NEAR_TURNS = 4  # turns of a replica in our own zone for each of one elsewhere, where crossing has a price
@@ -74,10 +74,12 @@
         if self.began is None:
             self.began = self.token_at = now_ms
             self._watch(None)
-        hear = {io.AttemptEnded: self._ended, io.QueryArrived: self._query_arrived, io.Woken: self._woken,
+        hear = {io.AttemptEnded: self._ended, io.QueryArrived: self._query_arrived,
                 io.PartArrived: self._part_arrived, io.QueryGone: self._gone, io.ServerList: self._listed}
         for event in events:
             hear.get(type(event), lambda _: None)(event)
+        if self.woken_for <= now_ms:
+            self.woken_for = float("inf")
         while self.agenda and self.agenda[0][0] <= now_ms:
             _, _, function, argument = heapq.heappop(self.agenda)
             function(argument)
@@ -169,9 +171,6 @@
                 one.spare, total = total > query.cls.floor + 0.05, total + one.weight
         self.waiting.append(part)
 
-    def _woken(self, _: io.Woken) -> None:
-        self.woken_for = float("inf")
-
     def _gone(self, event: io.QueryGone) -> None:
         if event.query in self.queries:
             self._end(self.queries[event.query])
@@ -270,7 +269,7 @@
 
     def _cold_room(self, server: Server) -> bool:
         """Rule 4: what warm servers are seen to bear, scaled by the least warmth, bounds a cold one."""
-        room = COLD_PART * self.cfg.cold_multiple * self._warmth(server) * self.borne
+        room = min(COLD_PART * self.cfg.cold_multiple, COLD_PUSH) * self._warmth(server) * self.borne
         return server.sends.total(self.now) + 1 <= max(room, 1.0)
 
     def _pick(self, part: Part, mates: list[Server], hedge: bool = False) -> Server | None:
@@ -288,6 +287,7 @@
         turn = self.turns.setdefault(part.cell, self.rng.randrange(1 << 16))
         order = [(turn + offset + 1, ring[(turn + offset) % len(ring)]) for offset in range(len(ring))]
         order = [pair for pair in order if pair[1] not in tried]
+        order = [pair for pair in order if self.now >= pair[1].flag_until] or order  # merely late beats silent
         order = [pair for pair in order if not pair[1].flagged(self.now)] or order
         order.sort(key=lambda pair: self._warmth(pair[1]) < self.rng.random())  # the cold last
         for following, server in order:
@@ -308,24 +308,19 @@
         """First tries and retries, oldest query first; what finds no room stays in line."""
         keep: list[Part] = []
         full: set[int] = set()
-        ready: dict[Query, bool] = {}
         self.waiting.sort(key=lambda p: (p.spare, p.query.born, p.query.number))
         called: list[Server] = []
         for part in self.waiting:
             if part.dropped or part.answered or part.query.ended:
                 continue
-            if part.query not in ready:
-                ready[part.query] = part.query.started or self.now > part.query.born + 0.2 * part.query.cls.aim or all(
-                    any(self._has_room(s, False) for s in self._ring(p.cell)) for p in part.query.parts if not p.spare)
-            tryable = ready[part.query] and part.cell not in full or part.attempts
-            server = self._pick(part, called) if tryable else None
+            server = self._pick(part, called) if part.cell not in full or part.attempts else None
             if server is not None:
                 if self.cfg.call_work and server not in called:
                     called.append(server)
                 self._send(part, server)
                 continue
             keep.append(part)
-            if not part.attempts and ready[part.query]:
+            if not part.attempts:
                 full.add(part.cell)
         self.waiting = keep
 
@@ -409,7 +404,8 @@
                     self._cancel(twin)
                 self._review(query)
             return
-        if event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF, Outcome.TIMED_OUT) or attempt.fired:
+        silent = attempt.fired and server.last_answer < attempt.sent
+        if silent or event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF, Outcome.TIMED_OUT):
             server.backoff = min(max(2 * server.backoff, TRIAL_FIRST), TRIAL_LAST)
             server.flag_until = self.now + server.backoff
         elif event.outcome is Outcome.REJECTED:
