--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -29,8 +29,8 @@
 WINDOW_CUT = 0.8  # multiplicative decrease, at most once in a target time
 SLOW_SHARE = 0.2  # of the shortest aim: an answer later than this says that the server's queue is too long
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
-START_SHARE = 0.4  # of the aim: what could not start by then is refused while a repeat can still pay
-SPARE_SHARE = 0.3  # of the aim: parts beyond the floor are given up after waiting so long for room
+START_SHARE = 0.4  # of the aim: what could not start by then is refused, and parts beyond the floor dropped
+WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
 SPARE_ROOM = 0.5  # of a server's window is open to them, and to copies: under load a copy robs a first try
@@ -60,6 +60,7 @@
         self.agenda, self.order, self.woken_for = [], 0, float("inf")  # (time, order, function, argument)
         self.turns, self.rings = {}, {}  # by cell: the turn, the replicas
         self.all = LatencyWindow(*WINDOW)
+        self.densest = 1e-9  # the most worth a part of any query so far
         self.borne = 0  # the most answers of one warm server in a span of the cold rule
         self.parts_sent, self.tokens, self.last_answer = 0, 1.0, float("-inf")
         span = settings.budget_window or 0.0  # the ledger of rule 6: requests taken, attempts beyond a first
@@ -114,7 +115,7 @@
                 span = self.cfg.cold_window + self.cfg.tick
                 new = Server(entry.server, entry.cell, entry.zone, entry.status, entry.came_up, WINDOW_START,
                              LatencyWindow(*WINDOW), SlidingSum(span), SlidingSum(span))
-                if server is not None:
+                if server:
                     new.out, new.overdue, new.sends = server.out, server.overdue, server.sends
                     for attempt in self.out.values():
                         if attempt.server is server:
@@ -150,11 +151,12 @@
                       self.now + event.time_left - 2 * self.cfg.tick, event.repeat)
         self.queries[query.id] = self.numbers[query.number] = query
         self.taken.add(self.now)
-        for time in (query.born + START_SHARE * cls.aim, query.aim_at - 2 * self.cfg.tick, query.dead_at):
+        density = cls.worth / (event.parts + cls.follow_up)
+        self.densest = max(self.densest, density)
+        query.rank = query.born + WORTH_LAG * cls.aim * (1 - density / self.densest)
+        start_by, late = query.born + START_SHARE * cls.aim, query.aim_at - 2 * self.cfg.tick
+        for time in (start_by, self._answer_by(query), late, query.dead_at):
             self._at(min(time, query.dead_at), self._review, query)
-        if cls.floor < cls.whole_at:
-            self._at(query.born + SPARE_SHARE * cls.aim, self._review, query)
-            self._at(self._answer_by(query), self._review, query)
 
     def _part_arrived(self, event: io.PartArrived) -> None:
         query = self.numbers.get(event.number)
@@ -228,7 +230,7 @@
         if share >= need - 1e-5 and (need < 1 or all(part.answered for part in query.parts)):
             return self._conclude(query, True)
         floor = cls.floor if cls.floor < cls.whole_at else need
-        if floor <= share < need and self.now >= query.born + SPARE_SHARE * cls.aim:
+        if floor <= share < need and self.now >= query.born + START_SHARE * cls.aim:
             for part in query.parts:
                 part.dropped |= not part.attempts
         open_parts = [p for p in query.parts if not p.answered and not p.dropped]
@@ -285,9 +287,9 @@
                     and self._may_send(part, server, hedge):
                 return server
         turn = self.turns.setdefault(part.cell, self.rng.randrange(1 << 16))
-        order = [(turn + offset + 1, ring[(turn + offset) % len(ring)]) for offset in range(len(ring))]
+        order = [(turn + i + 1, ring[(turn + i) % len(ring)]) for i in range(len(ring))]
         order = [pair for pair in order if pair[1] not in tried]
-        order = [pair for pair in order if self.now >= pair[1].flag_until] or order  # merely late beats silent
+        order = [pair for pair in order if self.now >= pair[1].flag_until] or order  # late beats silent
         order = [pair for pair in order if not pair[1].flagged(self.now)] or order
         order.sort(key=lambda pair: self._warmth(pair[1]) < self.rng.random())  # the cold last
         for following, server in order:
@@ -308,15 +310,14 @@
         """First tries and retries, oldest query first; what finds no room stays in line."""
         keep: list[Part] = []
         full: set[int] = set()
-        self.waiting.sort(key=lambda p: (p.spare, p.query.born, p.query.number))
+        self.waiting.sort(key=lambda p: (p.spare, p.query.rank, p.query.number))
         called: list[Server] = []
         for part in self.waiting:
             if part.dropped or part.answered or part.query.ended:
                 continue
             server = self._pick(part, called) if part.cell not in full or part.attempts else None
             if server is not None:
-                if self.cfg.call_work and server not in called:
-                    called.append(server)
+                called += [server] if self.cfg.call_work and server not in called else []
                 self._send(part, server)
                 continue
             keep.append(part)
@@ -365,21 +366,19 @@
     def _send_copies(self) -> None:
         """Tokens go first to the query nearest to being whole; one that is lost gets none."""
         rate = max(self.parts_sent / max((self.now - self.began) / 1000.0, 1.0), 1.0)
-        told = self.cfg.budget_share
-        refill = rate * (TOKEN_SHARE if told is None else min(TOKEN_SHARE, told))
+        refill = rate * min(TOKEN_SHARE, *([self.cfg.budget_share] if self.cfg.budget_window else [1.0]))
         self.tokens = min(self.tokens + refill * (self.now - self.token_at) / 1000.0, max(refill, 1.0))
         self.token_at = self.now
         self.hungry = [a for a in self.hungry if a.outcome is None and not a.cancelled and not a.part.answered
                        and not a.part.dropped and not a.part.query.ended]
-        if not self.cfg.second_copies:
-            return
         quick = self.all.read(self.now)[0]
         missing = {a.part.query: sum(not p.answered for p in a.part.query.parts) for a in self.hungry}
         self.hungry.sort(key=lambda a: (missing[a.part.query], -a.part.query.cls.worth, a.sent))
         for attempt in self.hungry[:]:
             part = attempt.part
             twins = sum(a.outcome is None for a in part.attempts)
-            if self.tokens < 1.0 or self.now + quick > part.query.aim_at or twins > 1:
+            lost = self.now + quick > part.query.aim_at
+            if self.tokens < 1.0 or lost or twins >= 1 + self.cfg.second_copies:
                 continue
             server = self._pick(part, [], hedge=True)
             if server is not None and not server.flagged(self.now):
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -102,6 +102,7 @@
     aim_at: float
     dead_at: float
     repeat: bool
+    rank: float = 0.0
     step: int = 1
     whole_so_far: bool = True
     started: bool = False
