--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -29,7 +29,8 @@
 WINDOW_CUT = 0.8  # multiplicative decrease, at most once in a target time
 SLOW_SHARE = 0.2  # of the shortest aim: an answer later than this says that the server's queue is too long
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
-START_SHARE = 0.4  # of the aim: what could not start by then is refused, and parts beyond the floor dropped
+START_SHARE = 0.4  # of the aim: what could not start by then is refused while a repeat can still pay
+SPARE_SHARE = 0.3  # of the aim: parts beyond the floor are given up after waiting so long for room
 WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
@@ -60,8 +61,7 @@
         self.agenda, self.order, self.woken_for = [], 0, float("inf")  # (time, order, function, argument)
         self.turns, self.rings = {}, {}  # by cell: the turn, the replicas
         self.all = LatencyWindow(*WINDOW)
-        self.densest = 1e-9  # the most worth a part of any query so far
-        self.borne = 0  # the most answers of one warm server in a span of the cold rule
+        self.densest, self.borne = 0.0, 0  # most worth a part; most answers of a warm server in a cold span
         self.parts_sent, self.tokens, self.last_answer = 0, 1.0, float("-inf")
         span = settings.budget_window or 0.0  # the ledger of rule 6: requests taken, attempts beyond a first
         self.taken, self.extras = SlidingSum(span), SlidingSum(span + settings.tick)
@@ -154,8 +154,8 @@
         density = cls.worth / (event.parts + cls.follow_up)
         self.densest = max(self.densest, density)
         query.rank = query.born + WORTH_LAG * cls.aim * (1 - density / self.densest)
-        start_by, late = query.born + START_SHARE * cls.aim, query.aim_at - 2 * self.cfg.tick
-        for time in (start_by, self._answer_by(query), late, query.dead_at):
+        start_by, spare_by = query.born + START_SHARE * cls.aim, query.born + SPARE_SHARE * cls.aim
+        for time in (start_by, spare_by, self._answer_by(query), query.aim_at - 2 * self.cfg.tick, query.dead_at):
             self._at(min(time, query.dead_at), self._review, query)
 
     def _part_arrived(self, event: io.PartArrived) -> None:
@@ -230,7 +230,7 @@
         if share >= need - 1e-5 and (need < 1 or all(part.answered for part in query.parts)):
             return self._conclude(query, True)
         floor = cls.floor if cls.floor < cls.whole_at else need
-        if floor <= share < need and self.now >= query.born + START_SHARE * cls.aim:
+        if floor <= share < need and self.now >= query.born + SPARE_SHARE * cls.aim:
             for part in query.parts:
                 part.dropped |= not part.attempts
         open_parts = [p for p in query.parts if not p.answered and not p.dropped]
