--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -59,8 +59,7 @@
         self.waiting: list[Part] = []  # parts with no attempt out, oldest query first
         self.hungry: list[Attempt] = []  # fired timers that want a token
         self.agenda, self.order, self.woken_for = [], 0, float("inf")  # (time, order, function, argument)
-        self.turns, self.rings = {}, {}  # by cell: the turn, the replicas
-        self.all = LatencyWindow(*WINDOW)
+        self.turns, self.rings, self.all = {}, {}, LatencyWindow(*WINDOW)  # by cell: the turn, the replicas
         self.densest, self.borne = 0.0, 0  # most worth a part; most answers of a warm server in a cold span
         self.parts_sent, self.tokens, self.last_answer = 0, 1.0, float("-inf")
         span = settings.budget_window or 0.0  # the ledger of rule 6: requests taken, attempts beyond a first
@@ -154,9 +153,10 @@
         density = cls.worth / (event.parts + cls.follow_up)
         self.densest = max(self.densest, density)
         query.rank = query.born + WORTH_LAG * cls.aim * (1 - density / self.densest)
-        start_by, spare_by = query.born + START_SHARE * cls.aim, query.born + SPARE_SHARE * cls.aim
-        for time in (start_by, spare_by, self._answer_by(query), query.aim_at - 2 * self.cfg.tick, query.dead_at):
-            self._at(min(time, query.dead_at), self._review, query)
+        waits = (START_SHARE * cls.aim, SPARE_SHARE * cls.aim, self._answer_by(query) - self.now,
+                 query.aim_at - 2 * self.cfg.tick - self.now, event.time_left)
+        for wait in waits:
+            self._at(min(self.now + wait, query.dead_at), self._review, query)
 
     def _part_arrived(self, event: io.PartArrived) -> None:
         query = self.numbers.get(event.number)
