--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -238,7 +238,7 @@
             return self._conclude(query, False)
         unsent = sum(not p.attempts for p in open_parts)
         if (reachable < floor - 1e-5 or self.now >= query.dead_at
-                or unsent and not query.started and self.now >= query.born + START_SHARE * cls.aim):
+                or unsent and self.now >= query.born + START_SHARE * cls.aim):
             return self._give_up(query)
         if self.now >= query.aim_at - 2 * self.cfg.tick:
             if cls.late_worth <= 0 or unsent or self.waiting:
