--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -78,14 +78,12 @@
                 io.PartArrived: self._part_arrived, io.QueryGone: self._gone, io.ServerList: self._listed}
         for event in events:
             hear.get(type(event), lambda _: None)(event)
-        if self.woken_for <= now_ms:
-            self.woken_for = float("inf")
         while self.agenda and self.agenda[0][0] <= now_ms:
             _, _, function, argument = heapq.heappop(self.agenda)
             function(argument)
         self._send_waiting()
         self._send_copies()
-        if self.agenda and self.agenda[0][0] < self.woken_for:
+        if self.agenda and (self.agenda[0][0] < self.woken_for or self.woken_for <= now_ms):
             self.woken_for = self.agenda[0][0]
             self.actions.append(io.Wake(max(self.woken_for - now_ms, 0.0), 1))
         return self.actions
@@ -152,11 +150,11 @@
         self.taken.add(self.now)
         density = cls.worth / (event.parts + cls.follow_up)
         self.densest = max(self.densest, density)
-        query.rank = query.born + WORTH_LAG * cls.aim * (1 - density / self.densest)
-        waits = (START_SHARE * cls.aim, SPARE_SHARE * cls.aim, self._answer_by(query) - self.now,
-                 query.aim_at - 2 * self.cfg.tick - self.now, event.time_left)
-        for wait in waits:
-            self._at(min(self.now + wait, query.dead_at), self._review, query)
+        query.rank = query.born + cls.aim * (START_SHARE + WORTH_LAG * (1 - density / self.densest))
+        born, aim = query.born, cls.aim
+        for time in (born + START_SHARE * aim, born + SPARE_SHARE * aim, self._answer_by(query),
+                     query.aim_at - SLOW_SHARE * aim, query.aim_at - 2 * self.cfg.tick, query.dead_at):
+            self._at(min(time, query.dead_at), self._review, query)
 
     def _part_arrived(self, event: io.PartArrived) -> None:
         if not (query := self.numbers.get(event.number)):
@@ -237,8 +235,10 @@
         if floor < need and share >= floor and (not open_parts or self.now >= self._answer_by(query)):
             return self._conclude(query, False)
         unsent = sum(not p.attempts for p in open_parts)
-        if (reachable < floor - 1e-5 or self.now >= query.dead_at
-                or unsent and self.now >= query.born + START_SHARE * cls.aim):
+        # Danger: the head of the line filled by queries whose last part would come too late (i3f2d23).
+        lost = floor == need and unsent and self.now >= query.aim_at - SLOW_SHARE * cls.aim
+        if (lost or reachable < floor - 1e-5 or self.now >= query.dead_at
+                or unsent and not query.started and self.now >= query.born + START_SHARE * cls.aim):
             return self._give_up(query)
         if self.now >= query.aim_at - 2 * self.cfg.tick:
             if cls.late_worth <= 0 or unsent or self.waiting:
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -9,6 +9,10 @@
 from tansycrank.state import LatencyWindow, SlidingSum
 
 
+def finals(actions):
+    return [a for a in actions if isinstance(a, io.Answer | io.Shed | io.Fail)]
+
+
 def test_point_1_two_sketches_rotate_and_are_merged_on_read():
     window = LatencyWindow(1000.0, 0.0, (0.5,))
     for t in range(10):
@@ -319,3 +323,23 @@
     _, (first,), _ = bench.query(query_class=1)
     bench.end(held[0], after=50)
     assert first in bench.attempts and held[5] not in bench.attempts
+
+
+def test_a_started_query_whose_last_part_would_come_too_late_leaves_the_line():
+    """Incident i3f2d23: such queries stood at the head of the line and nothing was finished."""
+    bench = Bench(settings(), servers=(1,))
+    query, parts, _ = bench.query(parts=8)
+    assert 0 < len(bench.attempts) < 8
+    assert not finals(bench.run(700))
+    assert [a.query for a in finals(bench.run(150))] == [query]
+
+
+def test_the_line_goes_by_when_a_query_must_start_not_by_age():
+    long = io.QueryClass(aim=4000.0, give_up=8000.0, worth=1.0)
+    short = io.QueryClass(aim=1000.0, give_up=4000.0, worth=1.0)
+    bench = Bench(settings(long, short), servers=(1,))
+    held = [bench.query(query_class=0, time_left=8000.0)[1][0] for _ in range(8)]
+    bench.run(50)
+    _, (fresh,), _ = bench.query(query_class=1)
+    bench.end(held[0], after=10)
+    assert fresh in bench.attempts and held[7] not in bench.attempts
