--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -29,9 +29,8 @@
 WINDOW_CUT = 0.8  # multiplicative decrease, at most once in a target time
 SLOW_SHARE = 0.2  # of the shortest aim: an answer later than this says that the server's queue is too long
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
-START_SHARE = 0.4  # of the aim: what could not start by then is refused while a repeat can still pay
+START_SHARE = 0.25  # of the aim: what could not start by then is refused while a repeat can still pay
 SPARE_SHARE = 0.3  # of the aim: parts beyond the floor are given up after waiting so long for room
-REPEAT_GONE = 0.4  # of the aim: what a client's repeat has lost already, where its time left does not tell
 WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
@@ -144,19 +143,16 @@
         longest = self.longest.get(event.query_class, 0.0)
         if not event.repeat and event.time_left > longest:
             self.longest[event.query_class] = longest = event.time_left
-        gone = cls.give_up - event.time_left if event.repeat else 0.0  # at most; a capped try tells no more than that
-        if event.time_left >= longest - 1:
-            gone = min(gone, REPEAT_GONE * cls.aim)
+        gone = cls.give_up - event.time_left if event.repeat and event.time_left < longest - 1 else 0.0
         query = Query(event.query, event.number, cls, self.now, self.now + cls.aim - gone,
                       self.now + event.time_left - 2 * self.cfg.tick, event.repeat)
         self.queries[query.id] = self.numbers[query.number] = query
         self.taken.add(self.now)
         density = cls.worth / (event.parts + cls.follow_up)
         self.densest = max(self.densest, density)
-        query.rank = query.born + (cls.aim - gone) * (START_SHARE + WORTH_LAG * (1 - density / self.densest))
-        query.start_by = query.born + START_SHARE * max(cls.aim - gone, 0.0)
-        born, aim = query.born, max(cls.aim - gone, 0.0)
-        for time in (query.start_by, born + SPARE_SHARE * aim, self._answer_by(query),
+        query.rank = query.born + cls.aim * (START_SHARE + WORTH_LAG * (1 - density / self.densest))
+        born, aim = query.born, cls.aim
+        for time in (born + START_SHARE * aim, born + SPARE_SHARE * aim, self._answer_by(query),
                      query.aim_at - SLOW_SHARE * aim, query.aim_at - 2 * self.cfg.tick, query.dead_at):
             self._at(min(time, query.dead_at), self._review, query)
 
@@ -242,7 +238,7 @@
         # Danger: the head of the line filled by queries whose last part would come too late (i3f2d23).
         lost = floor == need and unsent and self.now >= query.aim_at - SLOW_SHARE * cls.aim
         if (lost or reachable < floor - 1e-5 or self.now >= query.dead_at
-                or unsent and not query.started and self.now >= query.start_by):
+                or unsent and not query.started and self.now >= query.born + START_SHARE * cls.aim):
             return self._give_up(query)
         if self.now >= query.aim_at - 2 * self.cfg.tick:
             if cls.late_worth <= 0 or unsent or self.waiting:
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -103,7 +103,6 @@
     dead_at: float
     repeat: bool
     rank: float = 0.0
-    start_by: float = 0.0
     step: int = 1
     whole_so_far: bool = True
     started: bool = False
