--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -51,8 +51,7 @@
     def __init__(self, settings: io.Settings, seed: int) -> None:
         self.cfg = settings
         self.rng = random.Random(seed)
-        self.now, self.token_at, self.began = 0.0, 0.0, None
-        self.actions: list[io.Action] = []
+        self.now, self.token_at, self.began, self.actions = 0.0, 0.0, None, []
         self.servers: dict[int, Server] = {}
         self.queries, self.numbers, self.parts = {}, {}, {}  # by id, by number, by id
         self.out: dict[tuple[int, int], Attempt] = {}
@@ -298,29 +297,30 @@
         return None
 
     def _has_room(self, server: Server, spare: bool, new_call: bool = False) -> bool:
-        if server.backoff:  # silent when last tried: one trial at a time
-            return not server.out
-        window = int(server.window * (SPARE_ROOM if spare else 1.0))
+        window = 1 if server.backoff else int(server.window * (SPARE_ROOM if spare else 1.0))  # one trial
         if new_call and self.cfg.call_work and server.out:  # wait for room for several
             window -= min(REFILL, window // 2)
         return server.out < window
 
     def _send_waiting(self) -> None:
         """First tries and retries, oldest query first; what finds no room stays in line."""
-        keep: list[Part] = []
-        full: set[int] = set()
+        keep, called, full, ready = [], [], set(), {}
         self.waiting.sort(key=lambda p: (p.spare, p.query.rank, p.query.number))
-        called: list[Server] = []
         for part in self.waiting:
-            if part.dropped or part.answered or part.query.ended:
+            query = part.query
+            if part.dropped or part.answered or query.ended:
                 continue
-            server = self._pick(part, called) if part.cell not in full or part.attempts else None
+            if query not in ready:  # danger: half-done queries eat what whole ones need (i30339c)
+                ready[query] = query.started or query.cls.floor < query.cls.whole_at or all(
+                    any(self._has_room(s, False) for s in self._ring(p.cell)) for p in query.parts)
+            held = not part.attempts and (not ready[query] or part.cell in full)
+            server = None if held else self._pick(part, called)
             if server is not None:
                 called += [server] if self.cfg.call_work and server not in called else []
                 self._send(part, server)
                 continue
             keep.append(part)
-            if not part.attempts:
+            if not part.attempts and ready[query]:
                 full.add(part.cell)
         self.waiting = keep
 
