--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -311,8 +311,8 @@
             if part.dropped or part.answered or query.ended:
                 continue
             if query not in ready:  # danger: half-done queries eat what whole ones need (i30339c)
-                ready[query] = query.started or query.cls.floor < query.cls.whole_at or all(
-                    any(self._has_room(s, False) for s in self._ring(p.cell)) for p in query.parts)
+                ready[query] = query.started or query.cls.floor < query.cls.whole_at or 1 >= sum(
+                    all(not self._has_room(s, False) for s in self._ring(p.cell)) for p in query.parts)
             held = not part.attempts and (not ready[query] or part.cell in full)
             server = None if held else self._pick(part, called)
             if server is not None:
