--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -36,7 +36,6 @@
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
 SPARE_ROOM = 0.5  # of a server's window is open to them, and to copies: under load a copy robs a first try
 TRIAL_FIRST, TRIAL_LAST = 1_000.0, 8_000.0  # ms until a silent server is tried again, doubling
-STRAND_TIMERS = 3.0  # timers after which a part at a server that went silent is moved by cancel and retry
 COLD_PART, COLD_PUSH = 0.8, 2.0  # of what the cold rule allows; times what a cold server can do at least
 HEDGE_LEDGER = 0.6  # of the told budget may go to hedges; the rest is kept for retries after a crash
 HOLD_OFF = 0.15  # of the aim: when a client that was turned away should come back
@@ -358,18 +357,6 @@
         attempt.fired, attempt.server.overdue = True, attempt.server.overdue + 1
         if not attempt.part.query.ended and attempt.part.query.cls.effect is Effect.SAFE:
             self.hungry.append(attempt)
-            self._at(attempt.sent + STRAND_TIMERS * attempt.timer, self._stranded, attempt)
-
-    def _stranded(self, attempt: Attempt) -> None:
-        """A server gone silent holds the part: move it, unless the whole fleet is silent."""
-        part = attempt.part
-        if attempt.outcome is not None or part.answered or part.dropped or attempt.hedged:
-            return
-        if attempt.server.last_answer < attempt.sent < self.last_answer and self._ledger_allows(False) \
-                and len(part.attempts) < self.cfg.attempts_cap:
-            self._cancel(attempt)
-        else:
-            self._at(self.now + attempt.timer, self._stranded, attempt)
 
     def _send_copies(self) -> None:
         """Tokens go first to the query nearest to being whole; one that is lost gets none."""
