A pilot of a query's parts goes ahead where no recent answer tells how long the queues are

Each router has about one query at a time, so its windows never bind and it goes on filling queues nobody sees. Change: an eighth of the parts is sent first; the rest once half of that came in time; else refused at its start-by time. Not where an answer came within a quarter of the aim and most were in time.

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 from collections.abc import Iterable
 
@@ -30,6 +31,7 @@
 SLOW_SHARE = 0.2  # of the shortest aim: an answer later than this says that the server's queue is too long
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
 START_SHARE = 0.25  # of the aim: what could not start by then is refused while a repeat can still pay
+PILOT = 0.125  # of a query's parts go ahead where no recent answer tells how long the queues are
 SPARE_SHARE = 0.3  # of the aim: parts beyond the floor are given up after waiting so long for room
 WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
@@ -60,6 +62,7 @@
         self.turns, self.rings, self.all = {}, {}, LatencyWindow(*WINDOW)  # by cell: the turn, the replicas
         self.densest = 0.0  # the most worth a part of any query yet
         self.parts_sent, self.tokens, self.last_answer = 0, 1.0, float("-inf")
+        self.lateness = 0.0  # share of late ones among the last answers
         span = settings.budget_window or 0.0  # the ledger of rule 6: requests taken, attempts beyond a first
         self.taken, self.extras = SlidingSum(span), SlidingSum(span + settings.tick)
         self.longest: dict[int, float] = {}  # by class: the longest time a first try was given
@@ -147,6 +150,8 @@
                       self.now + event.time_left - 2 * self.cfg.tick, event.repeat)
         self.queries[query.id] = self.numbers[query.number] = query
         self.taken.add(self.now)
+        fresh = self.now < self.last_answer + START_SHARE * cls.aim
+        query.proven, query.pilot = fresh and self.lateness < 0.5, math.ceil(PILOT * event.parts)
         density = cls.worth / (event.parts + cls.follow_up)
         self.densest = max(self.densest, density)
         query.rank = query.born + cls.aim * (START_SHARE + WORTH_LAG * (1 - density / self.densest))
@@ -237,7 +242,7 @@
         # Danger: the head of the line filled by queries whose last part would come too late (i3f2d23).
         lost = floor == need and unsent and self.now >= query.aim_at - SLOW_SHARE * cls.aim
         if (lost or reachable < floor - 1e-5 or self.now >= query.dead_at
-                or unsent and not query.started and self.now >= query.born + START_SHARE * cls.aim):
+                or unsent and not (query.started and query.proven) and self.now >= query.born + START_SHARE * cls.aim):
             return self._give_up(query)
         if self.now >= query.aim_at - 2 * self.cfg.tick:
             if cls.late_worth <= 0 or unsent or self.waiting:
@@ -321,14 +326,15 @@
             if query not in ready:  # danger: half-done queries eat what whole ones need (i30339c)
                 ready[query] = query.started or query.cls.floor < query.cls.whole_at or 1 >= sum(
                     all(not self._has_room(s, False) for s in self._ring(p.cell)) for p in query.parts)
-            held = not part.attempts and (not ready[query] or part.cell in full)
+            piloting = not query.proven and query.sent >= query.pilot
+            held = not part.attempts and (not ready[query] or part.cell in full or piloting)
             server = None if held else self._pick(part, called)
             if server is not None:
                 called += [server] if self.cfg.call_work and server not in called else []
                 self._send(part, server)
                 continue
             keep.append(part)
-            if not part.attempts and ready[query]:
+            if not part.attempts and ready[query] and not piloting:
                 full.add(part.cell)
         self.waiting = keep
 
@@ -338,6 +344,7 @@
         attempt = Attempt(part, len(part.attempts), server, self.now, self._timer(part.query.cls, server))
         part.attempts.append(attempt)
         part.query.started = True
+        part.query.sent += not attempt.number
         self.out[part.id, attempt.number] = attempt
         server.out += 1
         server.sends.add(self.now)
@@ -415,6 +422,9 @@
     def _learn(self, attempt: Attempt, took: float) -> None:
         server = attempt.server
         self.last_answer = server.last_answer = self.now
+        self.lateness += ((took > self.target) - self.lateness) / ENOUGH
+        attempt.part.query.good += took <= self.target
+        attempt.part.query.proven |= 2 * attempt.part.query.good >= attempt.part.query.pilot
         server.sketch.add(self.now, took)
         self.all.add(self.now, took)
         server.backoff, server.flag_until = 0.0, float("-inf")
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -107,6 +107,10 @@
     step: int = 1
     whole_so_far: bool = True
     started: bool = False
+    proven: bool = True
+    pilot: int = 0
+    sent: int = 0
+    good: int = 0
     ended: bool = False
     parts: list = field(default_factory=list)
 
