--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -31,6 +31,7 @@
 SLOW_SHARE = 0.2  # of the shortest aim: an answer later than this says that the server's queue is too long
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
 START_SHARE = 0.25  # of the aim: what could not start by then is refused while a repeat can still pay
+LATE_SKIP = 10.0  # times what a late answer took: how long turns skip its server
 PILOT = 0.125  # of a query's parts go ahead where no recent answer tells how long the queues are
 SPARE_SHARE = 0.3  # of the aim: parts beyond the floor are given up after waiting so long for room
 WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
@@ -431,6 +432,7 @@
         if self.all.count(self.now) >= ENOUGH:  # the quickest ever: a queue must not raise its bar
             self.quickest = min(self.quickest, self.all.read(self.now)[0])
             self.target = max(SLOW_SHARE * self.shortest_aim, SLOW_FACTOR * self.quickest)
+        server.late_until = self.now + LATE_SKIP * took if took > self.target else 0.0
         if took > self.target:
             self._cut(server)
         elif server.out + 1 >= int(server.window):
