--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -432,7 +432,9 @@
         if self.all.count(self.now) >= ENOUGH:  # the quickest ever: a queue must not raise its bar
             self.quickest = min(self.quickest, self.all.read(self.now)[0])
             self.target = max(SLOW_SHARE * self.shortest_aim, SLOW_FACTOR * self.quickest)
-        server.late_until = self.now + LATE_SKIP * took if took > self.target else 0.0
+        server.pace = (server.pace + took) / 2 if server.pace else took
+        slow = server.pace > SLOW_FACTOR * self.all.read(self.now)[0]
+        server.late_until = self.now + LATE_SKIP * server.pace if slow else 0.0
         if took > self.target:
             self._cut(server)
         elif server.out + 1 >= int(server.window):
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -84,6 +84,7 @@
     last_answer: float = float("-inf")
     flag_until: float = float("-inf")
     late_until: float = 0.0
+    pace: float = 0.0
     backoff: float = 0.0
     lot: float = 0.0
     lot_until: float = 0.0
