--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -31,7 +31,6 @@
 SLOW_SHARE = 0.2  # of the shortest aim: an answer later than this says that the server's queue is too long
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
 START_SHARE = 0.25  # of the aim: what could not start by then is refused while a repeat can still pay
-LATE_SKIP = 10.0  # times what a late answer took: how long turns skip its server
 PILOT = 0.125  # of a query's parts go ahead where no recent answer tells how long the queues are
 SPARE_SHARE = 0.3  # of the aim: parts beyond the floor are given up after waiting so long for room
 WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
@@ -303,7 +302,8 @@
         order = [pair for pair in order if pair[1] not in tried]
         order = [pair for pair in order if self.now >= pair[1].flag_until] or order  # late beats silent
         order = [pair for pair in order if not pair[1].flagged(self.now)] or order
-        order.sort(key=lambda pair: self._warmth(pair[1]) < self.rng.random())  # the cold last
+        widest = max((pair[1].window for pair in order), default=1.0)
+        order.sort(key=lambda pair: min(self._warmth(pair[1]), pair[1].window / widest) < self.rng.random())
         for following, server in order:
             if self._has_room(server, part.spare or hedge, not hedge) and self._may_send(part, server, hedge):
                 self.turns[part.cell] = following
@@ -432,12 +432,9 @@
         if self.all.count(self.now) >= ENOUGH:  # the quickest ever: a queue must not raise its bar
             self.quickest = min(self.quickest, self.all.read(self.now)[0])
             self.target = max(SLOW_SHARE * self.shortest_aim, SLOW_FACTOR * self.quickest)
-        server.pace = (server.pace + took) / 2 if server.pace else took
-        slow = server.pace > SLOW_FACTOR * self.all.read(self.now)[0]
-        server.late_until = self.now + LATE_SKIP * server.pace if slow else 0.0
         if took > self.target:
             self._cut(server)
-        elif server.out + 1 >= int(server.window):
+        elif server.out + 1 >= int(server.window) or server.window < WINDOW_START:
             server.window += 1.0 / server.window
 
     def _cut(self, server: Server) -> None:
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -83,15 +83,13 @@
     last_cut: float = 0.0
     last_answer: float = float("-inf")
     flag_until: float = float("-inf")
-    late_until: float = 0.0
-    pace: float = 0.0
     backoff: float = 0.0
     lot: float = 0.0
     lot_until: float = 0.0
 
     def flagged(self, now: float) -> bool:
         """Whether a part of ours is overdue here, or a trial is not yet due."""
-        return self.overdue > 0 or now < self.flag_until or now < self.late_until
+        return self.overdue > 0 or now < self.flag_until
 
 
 @dataclass(slots=True, eq=False)
