The pilot is a query's heaviest parts; no pilot under eight parts; a third of the aim is kept for a second step

Change: what is unproven at its start-by time is answered from its heaviest parts where the class allows (this folds SPARE_SHARE into START_SHARE); the second step keeps a third of the aim at least.

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import heapq
-import math
 import random
 from collections.abc import Iterable
 
@@ -32,7 +31,6 @@
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
 START_SHARE = 0.25  # of the aim: what could not start by then is refused while a repeat can still pay
 PILOT = 0.125  # of a query's parts go ahead where no recent answer tells how long the queues are
-SPARE_SHARE = 0.3  # of the aim: parts beyond the floor are given up after waiting so long for room
 WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
@@ -151,12 +149,13 @@
         self.queries[query.id] = self.numbers[query.number] = query
         self.taken.add(self.now)
         fresh = self.now < self.last_answer + START_SHARE * cls.aim
-        query.proven, query.pilot = fresh and self.lateness < 0.5, math.ceil(PILOT * event.parts)
+        query.pilot = int(PILOT * event.parts)
+        query.proven = not query.pilot or fresh and self.lateness < 0.5
         density = cls.worth / (event.parts + cls.follow_up)
         self.densest = max(self.densest, density)
         query.rank = query.born + cls.aim * (START_SHARE + WORTH_LAG * (1 - density / self.densest))
         born, aim = query.born, cls.aim
-        for time in (born + START_SHARE * aim, born + SPARE_SHARE * aim, self._answer_by(query),
+        for time in (born + START_SHARE * aim, self._answer_by(query),
                      query.aim_at - SLOW_SHARE * aim, query.aim_at - 2 * self.cfg.tick, query.dead_at):
             self._at(min(time, query.dead_at), self._review, query)
 
@@ -203,8 +202,8 @@
 
     def _answer_by(self, query: Query) -> float:
         """When a partial answer goes out: at the aim, with time left for a second step."""
-        second = SECOND_STEP * self.all.read(self.now)[1] if query.step == 1 and query.cls.follow_up else 0.0
-        return query.aim_at - 3 * self.cfg.tick - second
+        second = max(SECOND_STEP * self.all.read(self.now)[1], BLIND_TIMER * query.cls.aim)
+        return query.aim_at - 3 * self.cfg.tick - (second if query.step == 1 and query.cls.follow_up else 0.0)
 
     def _conclude(self, query: Query, whole: bool) -> None:
         if query.step == 1 and query.cls.follow_up:
@@ -231,9 +230,9 @@
         if share >= need - 1e-5 and (need < 1 or all(part.answered for part in query.parts)):
             return self._conclude(query, True)
         floor = cls.floor if cls.floor < cls.whole_at else need
-        if floor <= share < need and self.now >= query.born + SPARE_SHARE * cls.aim:
+        if floor < need and self.now >= query.born + START_SHARE * cls.aim:
             for part in query.parts:
-                part.dropped |= not part.attempts
+                part.dropped |= not part.attempts and (part.spare or not query.proven)
         open_parts = [p for p in query.parts if not p.answered and not p.dropped]
         reachable = share + sum(p.weight for p in open_parts)
         if floor < need and share >= floor and (not open_parts or self.now >= self._answer_by(query)):
@@ -241,8 +240,9 @@
         unsent = sum(not p.attempts for p in open_parts)
         # Danger: the head of the line filled by queries whose last part would come too late (i3f2d23).
         lost = floor == need and unsent and self.now >= query.aim_at - SLOW_SHARE * cls.aim
+        held = unsent and not (query.started and query.proven)
         if (lost or reachable < floor - 1e-5 or self.now >= query.dead_at
-                or unsent and not (query.started and query.proven) and self.now >= query.born + START_SHARE * cls.aim):
+                or held and self.now >= query.born + START_SHARE * cls.aim):
             return self._give_up(query)
         if self.now >= query.aim_at - 2 * self.cfg.tick:
             if cls.late_worth <= 0 or unsent or self.waiting:
@@ -302,8 +302,7 @@
         order = [pair for pair in order if pair[1] not in tried]
         order = [pair for pair in order if self.now >= pair[1].flag_until] or order  # late beats silent
         order = [pair for pair in order if not pair[1].flagged(self.now)] or order
-        widest = max((pair[1].window for pair in order), default=1.0)
-        order.sort(key=lambda pair: min(self._warmth(pair[1]), pair[1].window / widest) < self.rng.random())
+        order.sort(key=lambda pair: self._warmth(pair[1]) < self.rng.random())  # the cold last
         for following, server in order:
             if self._has_room(server, part.spare or hedge, not hedge) and self._may_send(part, server, hedge):
                 self.turns[part.cell] = following
@@ -319,7 +318,7 @@
     def _send_waiting(self) -> None:
         """First tries and retries, oldest query first; what finds no room stays in line."""
         keep, called, full, ready = [], [], set(), {}
-        self.waiting.sort(key=lambda p: (p.spare, p.query.rank, p.query.number))
+        self.waiting.sort(key=lambda p: (p.spare, p.query.rank, p.query.number, -p.weight))
         for part in self.waiting:
             query = part.query
             if part.dropped or part.answered or query.ended:
@@ -434,7 +433,7 @@
             self.target = max(SLOW_SHARE * self.shortest_aim, SLOW_FACTOR * self.quickest)
         if took > self.target:
             self._cut(server)
-        elif server.out + 1 >= int(server.window) or server.window < WINDOW_START:
+        elif server.out + 1 >= int(server.window):
             server.window += 1.0 / server.window
 
     def _cut(self, server: Server) -> None:
