The token bucket holds what the largest query's parts earn

Cause: at size a router has one query of 50 to 100 parts every few seconds; a bucket of one second let most tokens lapse before the next query's tail could use them. The rate stays a tenth of parts.

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -60,6 +60,7 @@
         self.turns, self.rings, self.all = {}, {}, LatencyWindow(*WINDOW)  # by cell: the turn, the replicas
         self.densest = 0.0  # the most worth a part of any query yet
         self.parts_sent, self.tokens, self.last_answer = 0, 1.0, float("-inf")
+        self.bucket = 1.0  # tokens it holds: what the largest query's parts earn, however seldom one comes
         self.lateness = 0.0  # share of late ones among the last answers
         span = settings.budget_window or 0.0  # the ledger of rule 6: requests taken, attempts beyond a first
         self.taken, self.extras = SlidingSum(span), SlidingSum(span + settings.tick)
@@ -149,6 +150,7 @@
         self.queries[query.id] = self.numbers[query.number] = query
         self.taken.add(self.now)
         fresh = self.now < self.last_answer + START_SHARE * cls.aim
+        self.bucket = max(self.bucket, TOKEN_SHARE * event.parts)
         query.pilot = int(PILOT * event.parts)
         query.proven = not query.pilot or fresh and self.lateness < 0.5
         density = cls.worth / (event.parts + cls.follow_up)
@@ -369,7 +371,7 @@
         """Tokens go first to the query nearest to being whole; one that is lost gets none."""
         rate = max(self.parts_sent / max((self.now - self.began) / 1000.0, 1.0), 1.0)
         refill = rate * min(TOKEN_SHARE, *([self.cfg.budget_share] if self.cfg.budget_window else [1.0]))
-        self.tokens = min(self.tokens + refill * (self.now - self.token_at) / 1000.0, max(refill, 1.0))
+        self.tokens = min(self.tokens + refill * (self.now - self.token_at) / 1000.0, max(refill, self.bucket))
         self.token_at = self.now
         self.hungry = [a for a in self.hungry if a.outcome is None and not a.cancelled and not a.part.answered
                        and not a.part.dropped and not a.part.query.ended]
