--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -30,7 +30,7 @@
 SLOW_SHARE = 0.2  # of the shortest aim: an answer later than this says that the server's queue is too long
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
 START_SHARE = 0.25  # of the aim: what could not start by then is refused while a repeat can still pay
-PILOT = 0.125  # of a query's parts go ahead where no recent answer tells how long the queues are
+PILOT = 8  # one in so many of a query's parts goes ahead where no recent answer tells how long the queues are
 WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
@@ -151,8 +151,7 @@
         self.taken.add(self.now)
         fresh = self.now < self.last_answer + START_SHARE * cls.aim
         self.bucket = max(self.bucket, TOKEN_SHARE * event.parts)
-        query.pilot = int(PILOT * event.parts)
-        query.proven = not query.pilot or fresh and self.lateness < 0.5
+        query.proven = event.parts < PILOT or fresh and self.lateness < 0.5
         density = cls.worth / (event.parts + cls.follow_up)
         self.densest = max(self.densest, density)
         query.rank = query.born + cls.aim * (START_SHARE + WORTH_LAG * (1 - density / self.densest))
@@ -166,6 +165,7 @@
             return
         self.taken.add(self.now)
         part = Part(event.part, query, event.shard % self.cfg.cells, event.weight)
+        part.pilot = len(query.parts) % PILOT == 0
         query.parts.append(part)
         self.parts[part.id] = part
         if query.step == 1 and query.cls.floor < query.cls.whole_at:  # light parts yield under load
@@ -173,6 +173,7 @@
             total = 0.0
             for one in query.parts:
                 one.spare, total = total > query.cls.floor + 0.05, total + one.weight
+                one.pilot = not one.spare
         self.waiting.append(part)
 
     def _gone(self, event: io.QueryGone) -> None:
@@ -328,7 +329,7 @@
             if query not in ready:  # danger: half-done queries eat what whole ones need (i30339c)
                 ready[query] = query.started or query.cls.floor < query.cls.whole_at or 1 >= sum(
                     all(not self._has_room(s, False) for s in self._ring(p.cell)) for p in query.parts)
-            piloting = not query.proven and query.sent >= query.pilot
+            piloting = not query.proven and not part.pilot
             held = not part.attempts and (not ready[query] or part.cell in full or piloting)
             server = None if held else self._pick(part, called)
             if server is not None:
@@ -346,7 +347,6 @@
         attempt = Attempt(part, len(part.attempts), server, self.now, self._timer(part.query.cls, server))
         part.attempts.append(attempt)
         part.query.started = True
-        part.query.sent += not attempt.number
         self.out[part.id, attempt.number] = attempt
         server.out += 1
         server.sends.add(self.now)
@@ -402,6 +402,8 @@
             self._learn(attempt, event.took)
             if not part.answered and not part.dropped and not query.ended:
                 part.answered = True
+                pilots = [p.answered for p in query.parts if p.pilot]
+                query.proven = query.proven or 2 * sum(pilots) >= len(pilots)
                 for twin in part.attempts:
                     self._cancel(twin)
                 self._review(query)
@@ -425,8 +427,6 @@
         server = attempt.server
         self.last_answer = server.last_answer = self.now
         self.lateness += ((took > self.target) - self.lateness) / ENOUGH
-        attempt.part.query.good += took <= self.target
-        attempt.part.query.proven |= 2 * attempt.part.query.good >= attempt.part.query.pilot
         server.sketch.add(self.now, took)
         self.all.add(self.now, took)
         server.backoff, server.flag_until = 0.0, float("-inf")
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -108,9 +108,6 @@
     whole_so_far: bool = True
     started: bool = False
     proven: bool = True
-    pilot: int = 0
-    sent: int = 0
-    good: int = 0
     ended: bool = False
     parts: list = field(default_factory=list)
 
@@ -126,6 +123,7 @@
     answered: bool = False
     dropped: bool = False
     spare: bool = False
+    pilot: bool = False
     attempts: list = field(default_factory=list)
 
 
