A silent or refusing server is tried again after two of this router's meetings with it; an answer halves its backoff

Not the servers' fault: the list was quiet, and resets came to some routers only while parts of others were answered there.

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -35,6 +35,7 @@
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
 SPARE_ROOM = 0.5  # of a server's window is open to them, and to copies: under load a copy robs a first try
+TRIAL_TURNS = 2.0  # times between our parts at one server: a sooner trial at size would be every part
 TRIAL_FIRST, TRIAL_LAST = 1_000.0, 8_000.0  # ms until a silent server is tried again, doubling
 COLD_PART, COLD_PUSH = 0.8, 2.0  # of what the cold rule allows; times what a cold server can do at least
 HEDGE_LEDGER = 0.6  # of the told budget may go to hedges; the rest is kept for retries after a crash
@@ -410,7 +411,9 @@
             return
         silent = attempt.fired and server.last_answer < attempt.sent
         if silent or event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF, Outcome.TIMED_OUT):
-            server.backoff = min(max(2 * server.backoff, TRIAL_FIRST), TRIAL_LAST)
+            met = len(self.servers) * (self.now - self.began) / max(self.parts_sent, 1)
+            first = max(TRIAL_FIRST, TRIAL_TURNS * met)
+            server.backoff = min(max(2 * server.backoff, first), TRIAL_LAST * first / TRIAL_FIRST)
             server.flag_until = self.now + server.backoff
         elif event.outcome is Outcome.REJECTED or event.took > self.target:  # slow too: if all is
             self._cut(server)  # given up at its aim, no answer ever tells that the queues are too long
@@ -429,7 +432,8 @@
         self.lateness += ((took > self.target) - self.lateness) / ENOUGH
         server.sketch.add(self.now, took)
         self.all.add(self.now, took)
-        server.backoff, server.flag_until = 0.0, float("-inf")
+        server.backoff = server.backoff / 2 if server.backoff > 2 * TRIAL_FIRST else 0.0
+        server.flag_until = float("-inf")
         if self.all.count(self.now) >= ENOUGH:  # the quickest ever: a queue must not raise its bar
             self.quickest = min(self.quickest, self.all.read(self.now)[0])
             self.target = max(SLOW_SHARE * self.shortest_aim, SLOW_FACTOR * self.quickest)
