--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -31,7 +31,6 @@
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
 START_SHARE = 0.25  # of the aim: what could not start by then is refused while a repeat can still pay
 PILOT = 8  # one in so many of a query's parts goes ahead where no recent answer tells how long the queues are
-SPARE_SHARE = START_SHARE / 2  # light parts are asked for only where half of the heavy ones came by then
 WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
@@ -158,7 +157,7 @@
         self.densest = max(self.densest, density)
         query.rank = query.born + cls.aim * (START_SHARE + WORTH_LAG * (1 - density / self.densest))
         born, aim = query.born, cls.aim
-        for time in (born + SPARE_SHARE * aim, born + START_SHARE * aim, self._answer_by(query),
+        for time in (born + START_SHARE * aim, self._answer_by(query),
                      query.aim_at - SLOW_SHARE * aim, query.aim_at - 2 * self.cfg.tick, query.dead_at):
             self._at(min(time, query.dead_at), self._review, query)
 
@@ -235,10 +234,9 @@
         if share >= need - 1e-5 and (need < 1 or all(part.answered for part in query.parts)):
             return self._conclude(query, True)
         floor = cls.floor if cls.floor < cls.whole_at else need
-        patience = START_SHARE if query.proven else SPARE_SHARE
-        if floor < need and self.now >= query.born + patience * cls.aim:
+        if floor < need and self.now >= query.born + START_SHARE * cls.aim:
             for part in query.parts:
-                part.dropped |= part.spare and not part.attempts
+                part.dropped |= not part.attempts and (part.spare or not query.proven)
         open_parts = [p for p in query.parts if not p.answered and not p.dropped]
         reachable = share + sum(p.weight for p in open_parts)
         if floor < need and share >= floor and (not open_parts or self.now >= self._answer_by(query)):
@@ -441,7 +439,7 @@
             self.target = max(SLOW_SHARE * self.shortest_aim, SLOW_FACTOR * self.quickest)
         if took > self.target:
             self._cut(server)
-        elif server.out + 1 >= int(server.window):
+        elif server.out + 1 >= int(server.window) or server.window < WINDOW_START:
             server.window += 1.0 / server.window
 
     def _cut(self, server: Server) -> None:
