--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -439,7 +439,7 @@
             self.target = max(SLOW_SHARE * self.shortest_aim, SLOW_FACTOR * self.quickest)
         if took > self.target:
             self._cut(server)
-        elif server.out + 1 >= int(server.window) or server.window < WINDOW_START:
+        elif server.out + 1 >= int(server.window):
             server.window += 1.0 / server.window
 
     def _cut(self, server: Server) -> None:
