--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -29,7 +29,7 @@
 WINDOW_CUT = 0.8  # multiplicative decrease, at most once in a target time
 SLOW_SHARE = 0.2  # of the shortest aim: an answer later than this says that the server's queue is too long
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
-START_SHARE = 0.3  # of the aim: what could not start by then is refused while a repeat can still pay
+START_SHARE = 0.25  # of the aim: what could not start by then is refused while a repeat can still pay
 PILOT = 8  # one in so many of a query's parts goes ahead where no recent answer tells how long the queues are
 WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
@@ -150,9 +150,9 @@
                       self.now + event.time_left - 2 * self.cfg.tick, event.repeat)
         self.queries[query.id] = self.numbers[query.number] = query
         self.taken.add(self.now)
-        fresh = self.now < self.last_answer + START_SHARE * cls.aim
+        fresh = self.now < self.last_answer + cls.aim
         self.bucket = max(self.bucket, TOKEN_SHARE * event.parts)
-        query.proven = event.parts < PILOT or fresh and self.lateness < 0.5
+        query.proven = event.parts < PILOT or fresh and self.lateness < START_SHARE
         density = cls.worth / (event.parts + cls.follow_up)
         self.densest = max(self.densest, density)
         query.rank = query.born + cls.aim * (START_SHARE + WORTH_LAG * (1 - density / self.densest))
