--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -404,7 +404,7 @@
             if not part.answered and not part.dropped and not query.ended:
                 part.answered = True
                 pilots = [p.answered for p in query.parts if p.pilot]
-                query.proven = query.proven or 4 * sum(pilots) >= 3 * len(pilots)
+                query.proven = query.proven or sum(pilots) >= len(pilots) - max(len(pilots) // 4, 1)
                 for twin in part.attempts:
                     self._cancel(twin)
                 self._review(query)
