--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -371,7 +371,10 @@
     def _send_copies(self) -> None:
         """Tokens go first to the query nearest to being whole; one that is lost gets none."""
         rate = max(self.parts_sent / max((self.now - self.began) / 1000.0, 1.0), 1.0)
-        refill = rate * min(TOKEN_SHARE, *([self.cfg.budget_share] if self.cfg.budget_window else [1.0]))
+        refill = rate * TOKEN_SHARE
+        if self.cfg.budget_window is not None:
+            told = 1000.0 * self.cfg.budget_floor / self.cfg.budget_window + rate * self.cfg.budget_share
+            refill = min(refill, told)
         self.tokens = min(self.tokens + refill * (self.now - self.token_at) / 1000.0, max(refill, self.bucket))
         self.token_at = self.now
         self.hungry = [a for a in self.hungry if a.outcome is None and not a.cancelled and not a.part.answered
