--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -321,24 +321,21 @@
 
     def _send_waiting(self) -> None:
         """First tries and retries, oldest query first; what finds no room stays in line."""
-        keep, called, full, ready = [], [], set(), {}
+        keep, called, full = [], [], set()
         self.waiting.sort(key=lambda p: (p.spare, p.query.rank, p.query.number, -p.weight))
         for part in self.waiting:
             query = part.query
             if part.dropped or part.answered or query.ended:
                 continue
-            if query not in ready:  # danger: half-done queries eat what whole ones need (i30339c)
-                ready[query] = query.started or query.cls.floor < query.cls.whole_at or 1 >= sum(
-                    all(not self._has_room(s, False) for s in self._ring(p.cell)) for p in query.parts)
             piloting = not query.proven and not part.pilot
-            held = not part.attempts and (not ready[query] or part.cell in full or piloting)
+            held = not part.attempts and (part.cell in full or piloting)
             server = None if held else self._pick(part, called)
             if server is not None:
                 called += [server] if self.cfg.call_work and server not in called else []
                 self._send(part, server)
                 continue
             keep.append(part)
-            if not part.attempts and ready[query] and not piloting:
+            if not part.attempts and not piloting:
                 full.add(part.cell)
         self.waiting = keep
 
