--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -158,7 +158,7 @@
         query.rank = query.born + cls.aim * (START_SHARE + WORTH_LAG * (1 - density / self.densest))
         born, aim = query.born, cls.aim
         for time in (born + START_SHARE * aim, self._answer_by(query),
-                     query.aim_at - SLOW_SHARE * aim, query.aim_at - 2 * self.cfg.tick, query.dead_at):
+                     query.aim_at - 2 * self.cfg.tick, query.dead_at):
             self._at(min(time, query.dead_at), self._review, query)
 
     def _part_arrived(self, event: io.PartArrived) -> None:
@@ -242,10 +242,8 @@
         if floor < need and share >= floor and (not open_parts or self.now >= self._answer_by(query)):
             return self._conclude(query, False)
         unsent = sum(not p.attempts for p in open_parts)
-        # Danger: the head of the line filled by queries whose last part would come too late (i3f2d23).
-        lost = floor == need and unsent and self.now >= query.aim_at - SLOW_SHARE * cls.aim
         held = unsent and not (query.started and query.proven)
-        if (lost or reachable < floor - 1e-5 or self.now >= query.dead_at
+        if (reachable < floor - 1e-5 or self.now >= query.dead_at
                 or held and self.now >= query.born + START_SHARE * cls.aim):
             return self._give_up(query)
         if self.now >= query.aim_at - 2 * self.cfg.tick:
