--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -31,6 +31,7 @@
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
 START_SHARE = 0.25  # of the aim: what could not start by then is refused while a repeat can still pay
 PILOT = 8  # one in so many of a query's parts goes ahead where no recent answer tells how long the queues are
+WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
 SPARE_ROOM = 0.5  # of a server's window is open to them, and to copies: under load a copy robs a first try
@@ -58,6 +59,7 @@
         self.hungry: list[Attempt] = []  # fired timers that want a token
         self.agenda, self.order, self.woken_for = [], 0, float("inf")  # (time, order, function, argument)
         self.turns, self.rings, self.all = {}, {}, LatencyWindow(*WINDOW)  # by cell: the turn, the replicas
+        self.densest = 0.0  # the most worth a part of any query yet
         self.parts_sent, self.tokens, self.last_answer = 0, 1.0, float("-inf")
         self.bucket = 1.0  # tokens it holds: what the largest query's parts earn, however seldom one comes
         self.lateness = 0.0  # share of late ones among the last answers
@@ -151,6 +153,9 @@
         fresh = self.now < self.last_answer + cls.aim
         self.bucket = max(self.bucket, TOKEN_SHARE * event.parts)
         query.proven = event.parts < PILOT or fresh and self.lateness < START_SHARE
+        density = cls.worth / (event.parts + cls.follow_up)
+        self.densest = max(self.densest, density)
+        query.rank = query.born + cls.aim * (START_SHARE + WORTH_LAG * (1 - density / self.densest))
         born, aim = query.born, cls.aim
         for time in (born + START_SHARE * aim, self._answer_by(query),
                      query.aim_at - 2 * self.cfg.tick, query.dead_at):
@@ -315,7 +320,7 @@
     def _send_waiting(self) -> None:
         """First tries and retries, oldest query first; what finds no room stays in line."""
         keep, called, full = [], [], set()
-        self.waiting.sort(key=lambda p: (p.spare, p.query.born + START_SHARE * p.query.cls.aim, p.query.number, -p.weight))
+        self.waiting.sort(key=lambda p: (p.spare, p.query.rank, p.query.number, -p.weight))
         for part in self.waiting:
             query = part.query
             if part.dropped or part.answered or query.ended:
