--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -247,7 +247,7 @@
                 or held and self.now >= query.born + START_SHARE * cls.aim):
             return self._give_up(query)
         if self.now >= query.aim_at - 2 * self.cfg.tick:
-            if cls.late_worth <= 0 or unsent or self.waiting or self.lateness > 0.5:
+            if cls.late_worth <= 0 or unsent or self.waiting:
                 return self._give_up(query)
             self._at(min(self.now + RECHECK, query.dead_at), self._review, query)
 
