--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -424,7 +424,8 @@
             self._review(query)
         else:
             # Danger: all of a part's attempts spent on full queues in one breath, and its query with them.
-            part.due = self.now + LAST_TRY_WAIT * query.cls.aim * (len(part.attempts) + 1 == self.cfg.attempts_cap)
+            last = query.proven and len(part.attempts) + 1 == self.cfg.attempts_cap
+            part.due = self.now + (LAST_TRY_WAIT * query.cls.aim if last else 0.0)
             self._at(part.due, self._review, query)
             self.waiting.append(part)
 
