--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -39,7 +39,6 @@
 TRIAL_FIRST, TRIAL_LAST = 1_000.0, 8_000.0  # ms until a silent server is tried again, doubling
 COLD_PART, COLD_PUSH = 0.8, 2.0  # of what the cold rule allows; times what a cold server can do at least
 HEDGE_LEDGER = 0.6  # of the told budget may go to hedges; the rest is kept for retries after a crash
-LAST_TRY_WAIT = 0.1  # of the aim: how long a part's last attempt waits for what failed the others to pass
 HOLD_OFF = 0.15  # of the aim: when a client that was turned away should come back
 NEAR_TURNS = 4  # turns of a replica in our own zone for each of one elsewhere, where crossing has a price
 ASK_BACKOFF, ASK_BACKOFF_LAST = 200.0, 3_000.0  # ms between calls to discovery after a failure
@@ -327,7 +326,7 @@
             if part.dropped or part.answered or query.ended:
                 continue
             piloting = not query.proven and not part.pilot
-            held = self.now < part.due or not part.attempts and (part.cell in full or piloting)
+            held = not part.attempts and (part.cell in full or piloting)
             server = None if held else self._pick(part, called)
             if server is not None:
                 called += [server] if self.cfg.call_work and server not in called else []
@@ -423,10 +422,6 @@
             part.dropped = True
             self._review(query)
         else:
-            # Danger: all of a part's attempts spent on full queues in one breath, and its query with them.
-            last = query.proven and len(part.attempts) + 1 == self.cfg.attempts_cap
-            part.due = self.now + (LAST_TRY_WAIT * query.cls.aim if last else 0.0)
-            self._at(part.due, self._review, query)
             self.waiting.append(part)
 
     def _learn(self, attempt: Attempt, took: float) -> None:
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -124,7 +124,6 @@
     dropped: bool = False
     spare: bool = False
     pilot: bool = False
-    due: float = 0.0
     attempts: list = field(default_factory=list)
 
 
