--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -414,8 +414,7 @@
             server.backoff = min(max(2 * server.backoff, first), TRIAL_LAST * first / TRIAL_FIRST)
             server.flag_until = self.now + server.backoff
         elif event.outcome is Outcome.REJECTED or event.took > self.target:  # slow too: if all is
-            self.lateness += (1 - self.lateness) / ENOUGH  # given up at its aim, no answer ever tells
-            self._cut(server)  # that the queues are too long
+            self._cut(server)  # given up at its aim, no answer ever tells that the queues are too long
         if part.answered or part.dropped or query.ended or any(a.outcome is None for a in part.attempts):
             return
         may_have_run = not event.outcome.never_ran
