--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -112,7 +112,7 @@
             if server is None or entry.came_up > server.came_up:  # new or restarted: the old record is void
                 span = self.cfg.cold_window + self.cfg.tick
                 new = Server(entry.server, entry.cell, entry.zone, entry.status, entry.came_up, WINDOW_START,
-                             LatencyWindow(*WINDOW), SlidingSum(span), self.all.read(self.now)[0] or 1.0,
+                             LatencyWindow(*WINDOW), SlidingSum(span),
                              lot_until=self.now + self.rng.random() * self.cfg.cold_window)
                 if server:
                     new.out, new.overdue, new.sends = server.out, server.overdue, server.sends
@@ -304,8 +304,7 @@
         order = [pair for pair in order if pair[1] not in tried]
         order = [pair for pair in order if self.now >= pair[1].flag_until] or order  # late beats silent
         order = [pair for pair in order if not pair[1].flagged(self.now)] or order
-        best = min((pair[1].pace for pair in order), default=0.0)
-        order.sort(key=lambda pair: min(self._warmth(pair[1]), best / pair[1].pace) < self.rng.random())
+        order.sort(key=lambda pair: self._warmth(pair[1]) < self.rng.random())  # the cold last
         for following, server in order:
             if self._has_room(server, part.spare or hedge, not hedge) and self._may_send(part, server, hedge):
                 self.turns[part.cell] = following
@@ -429,7 +428,6 @@
         server = attempt.server
         self.last_answer = server.last_answer = self.now
         self.lateness += ((took > self.target) - self.lateness) / ENOUGH
-        server.pace += (took - server.pace) / 2
         server.sketch.add(self.now, took)
         self.all.add(self.now, took)
         server.backoff = server.backoff / 2 if server.backoff > 2 * TRIAL_FIRST else 0.0
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -78,7 +78,6 @@
     window: float
     sketch: LatencyWindow
     sends: SlidingSum
-    pace: float
     out: int = 0
     overdue: int = 0
     last_cut: float = 0.0
