--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -296,25 +296,23 @@
                 return None
             tried = set()
         for server in mates:
-            if server in ring and server not in tried and self._has_room(server, part.query.cls, part.spare) \
+            if server in ring and server not in tried and self._has_room(server, part.spare) \
                     and self._may_send(part, server, hedge):
                 return server
         turn = self.turns.setdefault(part.cell, self.rng.randrange(1 << 16))
         order = [(turn + i + 1, ring[(turn + i) % len(ring)]) for i in range(len(ring))]
         order = [pair for pair in order if pair[1] not in tried]
-        cls = part.query.cls
-        order = [pair for pair in order if not pair[1].held_off(cls, self.now)] or order  # late beats silent
-        order = [pair for pair in order if not pair[1].flagged(cls, self.now)] or order
+        order = [pair for pair in order if self.now >= pair[1].flag_until] or order  # late beats silent
+        order = [pair for pair in order if not pair[1].flagged(self.now)] or order
         order.sort(key=lambda pair: self._warmth(pair[1]) < self.rng.random())  # the cold last
         for following, server in order:
-            if self._has_room(server, cls, part.spare or hedge, not hedge) and self._may_send(part, server, hedge):
+            if self._has_room(server, part.spare or hedge, not hedge) and self._may_send(part, server, hedge):
                 self.turns[part.cell] = following
                 return server
         return None
 
-    def _has_room(self, server: Server, cls: io.QueryClass, spare: bool, new_call: bool = False) -> bool:
-        on_trial = None in server.trials or cls in server.trials
-        window = 1 if on_trial else int(server.window * (SPARE_ROOM if spare else 1.0))
+    def _has_room(self, server: Server, spare: bool, new_call: bool = False) -> bool:
+        window = 1 if server.backoff else int(server.window * (SPARE_ROOM if spare else 1.0))  # one trial
         if new_call and self.cfg.call_work and server.out:  # wait for room for several
             window -= min(REFILL, window // 2)
         return server.out < window
@@ -386,7 +384,7 @@
             if self.tokens < 1.0 or lost or twins >= 1 + self.cfg.second_copies:
                 continue
             server = self._pick(part, [], hedge=True)
-            if server is not None and not server.flagged(part.query.cls, self.now):
+            if server is not None and not server.flagged(self.now):
                 self.tokens -= 1.0
                 attempt.hedged = True
                 self.hungry.remove(attempt)
@@ -409,10 +407,12 @@
                     self._cancel(twin)
                 self._review(query)
             return
-        broken = event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF)
-        silent = attempt.fired and server.heard.get(query.cls, 0.0) < attempt.sent
-        if broken or silent or event.outcome in (Outcome.TIMED_OUT, Outcome.ERROR):
-            self._hold_off(server, None if broken else query.cls)
+        silent = attempt.fired and server.last_answer < attempt.sent
+        if silent or event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF, Outcome.TIMED_OUT):
+            met = len(self.servers) * (self.now - self.began) / max(self.parts_sent, 1)
+            first = max(TRIAL_FIRST, TRIAL_TURNS * met)
+            server.backoff = min(max(2 * server.backoff, first), TRIAL_LAST * first / TRIAL_FIRST)
+            server.flag_until = self.now + server.backoff
         elif event.outcome is Outcome.REJECTED or event.took > self.target:  # slow too: if all is
             self._cut(server)  # given up at its aim, no answer ever tells that the queues are too long
         if part.answered or part.dropped or query.ended or any(a.outcome is None for a in part.attempts):
@@ -424,27 +424,14 @@
         else:
             self.waiting.append(part)
 
-    def _hold_off(self, server: Server, cls: io.QueryClass | None) -> None:
-        """No more parts of this class, or of any, but for one trial at a time, each after a longer while.
-
-        Danger: a server that leaves one class unanswered, readmitted by every answer of the others.
-        """
-        met = len(self.servers) * (self.now - self.began) / max(self.parts_sent, 1)
-        first = max(TRIAL_FIRST, TRIAL_TURNS * met)
-        backoff = min(max(2 * server.trials.get(cls, (0.0, 0.0))[0], first), TRIAL_LAST * first / TRIAL_FIRST)
-        server.trials[cls] = (backoff, self.now + backoff)
-
     def _learn(self, attempt: Attempt, took: float) -> None:
         server = attempt.server
-        self.last_answer = self.now
+        self.last_answer = server.last_answer = self.now
         self.lateness += ((took > self.target) - self.lateness) / ENOUGH
         server.sketch.add(self.now, took)
         self.all.add(self.now, took)
-        server.heard[attempt.part.query.cls] = self.now
-        for key in (None, attempt.part.query.cls):  # one answer halves the backoff: many come and go
-            backoff = server.trials.pop(key, (0.0, 0.0))[0] / 2
-            if backoff > TRIAL_FIRST:
-                server.trials[key] = (backoff, self.now)
+        server.backoff = server.backoff / 2 if server.backoff > 2 * TRIAL_FIRST else 0.0
+        server.flag_until = float("-inf")
         if self.all.count(self.now) >= ENOUGH:  # the quickest ever: a queue must not raise its bar
             self.quickest = min(self.quickest, self.all.read(self.now)[0])
             self.target = max(SLOW_SHARE * self.shortest_aim, SLOW_FACTOR * self.quickest)
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -81,18 +81,15 @@
     out: int = 0
     overdue: int = 0
     last_cut: float = 0.0
-    heard: dict = field(default_factory=dict)  # by class: when its last answer came
-    trials: dict = field(default_factory=dict)  # by class, None for all: (backoff, when a trial is due)
+    last_answer: float = float("-inf")
+    flag_until: float = float("-inf")
+    backoff: float = 0.0
     lot: float = 0.0
     lot_until: float = 0.0
 
-    def held_off(self, cls: QueryClass, now: float) -> bool:
-        """Whether a trial is not yet due, of this class or of all."""
-        return any(now < self.trials[key][1] for key in (None, cls) if key in self.trials)
-
-    def flagged(self, cls: QueryClass, now: float) -> bool:
+    def flagged(self, now: float) -> bool:
         """Whether a part of ours is overdue here, or a trial is not yet due."""
-        return self.overdue > 0 or self.held_off(cls, now)
+        return self.overdue > 0 or now < self.flag_until
 
 
 @dataclass(slots=True, eq=False)
