--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -19,7 +19,7 @@
 MIN_TIMER = 1.0  # ms
 ENOUGH = 20  # answers in a server's window before its own percentile is believed
 BLIND_TIMER = 1 / 3  # of the aim, before there is any answer at all
-TOKEN_SHARE = 0.15  # copies per part sent, the refill of the bucket
+TOKEN_SHARE = 0.10  # copies per part sent, the refill of the bucket
 # Figures of the exceptions.
 FLEET_TIMER = 1.5  # a server's timer is at most so many overall p90s: a slow server's own p90 is slow too
 QUICK_QUANTILE = 0.25  # of all answers: what an answer takes where no queue stands
