--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -32,7 +32,6 @@
 START_SHARE = 0.25  # of the aim: what could not start by then is refused while a repeat can still pay
 PILOT = 8  # one in so many of a query's parts goes ahead where no recent answer tells how long the queues are
 WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
-REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
 SPARE_ROOM = 0.5  # of a server's window is open to them, and to copies: under load a copy robs a first try
 TRIAL_TURNS = 2.0  # times between our parts at one server: a sooner trial at size would be every part
@@ -306,15 +305,13 @@
         order = [pair for pair in order if not pair[1].flagged(self.now)] or order
         order.sort(key=lambda pair: self._warmth(pair[1]) < self.rng.random())  # the cold last
         for following, server in order:
-            if self._has_room(server, part.spare or hedge, not hedge) and self._may_send(part, server, hedge):
+            if self._has_room(server, part.spare or hedge) and self._may_send(part, server, hedge):
                 self.turns[part.cell] = following
                 return server
         return None
 
-    def _has_room(self, server: Server, spare: bool, new_call: bool = False) -> bool:
+    def _has_room(self, server: Server, spare: bool) -> bool:
         window = 1 if server.backoff else int(server.window * (SPARE_ROOM if spare else 1.0))  # one trial
-        if new_call and self.cfg.call_work and server.out:  # wait for room for several
-            window -= min(REFILL, window // 2)
         return server.out < window
 
     def _send_waiting(self) -> None:
