--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -32,6 +32,7 @@
 START_SHARE = 0.25  # of the aim: what could not start by then is refused while a repeat can still pay
 PILOT = 8  # one in so many of a query's parts goes ahead where no recent answer tells how long the queues are
 WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
+REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
 SPARE_ROOM = 0.5  # of a server's window is open to them, and to copies: under load a copy robs a first try
 TRIAL_TURNS = 2.0  # times between our parts at one server: a sooner trial at size would be every part
@@ -67,6 +68,8 @@
         self.longest: dict[int, float] = {}  # by class: the longest time a first try was given
         self.ask_backoff, self.shortest_aim = ASK_BACKOFF, min(cls.aim for cls in settings.classes)
         self.quickest, self.target = float("inf"), self.shortest_aim  # ms: an answer later than that is slow
+        self.hear = {io.AttemptEnded: self._ended, io.QueryArrived: self._query_arrived,
+                     io.PartArrived: self._part_came, io.QueryGone: self._gone, io.ServerList: self._listed}
 
     def step(self, now_ms: float, events: Iterable[io.Event]) -> list[io.Action]:
         """Hear one round's events and return what to do, in order."""
@@ -74,10 +77,9 @@
         if self.began is None:
             self.began = self.token_at = now_ms
             self._watch(None)
-        hear = {io.AttemptEnded: self._ended, io.QueryArrived: self._query_arrived,
-                io.PartArrived: self._part_arrived, io.QueryGone: self._gone, io.ServerList: self._listed}
         for event in events:
-            hear.get(type(event), lambda _: None)(event)
+            if type(event) in self.hear:
+                self.hear[type(event)](event)
         while self.agenda and self.agenda[0][0] <= now_ms:
             _, _, function, argument = heapq.heappop(self.agenda)
             function(argument)
@@ -101,8 +103,7 @@
             self._at(self.now + self.ask_backoff, self._watch, None)
             self.ask_backoff = min(2 * self.ask_backoff, ASK_BACKOFF_LAST)
             return
-        if event.kind is not ListKind.CACHED:
-            self.ask_backoff = ASK_BACKOFF
+        self.ask_backoff = ASK_BACKOFF
         if event.kind is not ListKind.CHANGES:
             for server in self.servers.values():  # the list names all that stand
                 server.status = Status.GONE
@@ -113,11 +114,7 @@
                 new = Server(entry.server, entry.cell, entry.zone, entry.status, entry.came_up, WINDOW_START,
                              LatencyWindow(*WINDOW), SlidingSum(span),
                              lot_until=self.now + self.rng.random() * self.cfg.cold_window)
-                if server:
-                    new.out, new.overdue, new.sends = server.out, server.overdue, server.sends
-                    for attempt in self.out.values():
-                        if attempt.server is server:
-                            attempt.server = new
+                new.sends = server.sends if server else new.sends  # rule 4
                 self.servers[entry.server] = server = new
             server.status, server.cell, server.zone = entry.status, entry.cell, entry.zone
         self.rings = {}
@@ -149,18 +146,17 @@
                       self.now + event.time_left - 2 * self.cfg.tick, event.repeat)
         self.queries[query.id] = self.numbers[query.number] = query
         self.taken.add(self.now)
-        fresh = self.now < self.last_answer + cls.aim
         self.bucket = max(self.bucket, TOKEN_SHARE * event.parts)
-        query.proven = event.parts < PILOT or fresh and self.lateness < START_SHARE
+        prompt = self.now < self.last_answer + cls.aim and self.lateness < START_SHARE
+        query.proven = event.parts < PILOT or prompt
         density = cls.worth / (event.parts + cls.follow_up)
         self.densest = max(self.densest, density)
-        query.rank = query.born + cls.aim * (START_SHARE + WORTH_LAG * (1 - density / self.densest))
-        born, aim = query.born, cls.aim
-        for time in (born + START_SHARE * aim, self._answer_by(query),
-                     query.aim_at - 2 * self.cfg.tick, query.dead_at):
+        start_by = query.born + START_SHARE * cls.aim
+        query.rank = start_by + WORTH_LAG * cls.aim * (1 - density / self.densest)
+        for time in (start_by, self._answer_by(query), query.aim_at - 2 * self.cfg.tick, query.dead_at):
             self._at(min(time, query.dead_at), self._review, query)
 
-    def _part_arrived(self, event: io.PartArrived) -> None:
+    def _part_came(self, event: io.PartArrived) -> None:
         if not (query := self.numbers.get(event.number)):
             return
         self.taken.add(self.now)
@@ -226,8 +222,9 @@
 
     def _review(self, query: Query) -> None:
         """Answer if it is time, or give up if nothing more can be earned."""
-        if query.ended or not query.parts:
-            return None if query.ended or self.now < query.dead_at else self._give_up(query)
+        between_steps = not query.parts and self.now < query.dead_at
+        if query.ended or between_steps:
+            return None
         cls, share = query.cls, sum(part.weight for part in query.parts if part.answered)
         need = cls.whole_at if query.step == 1 else 1.0
         if share >= need - 1e-5 and (need < 1 or all(part.answered for part in query.parts)):
@@ -235,7 +232,8 @@
         floor = cls.floor if cls.floor < cls.whole_at else need
         if floor < need and self.now >= query.born + START_SHARE * cls.aim:
             for part in query.parts:
-                part.dropped |= not part.attempts and (part.spare or not query.proven)
+                if not part.attempts and (part.spare or not query.proven):
+                    part.dropped = True
         open_parts = [p for p in query.parts if not p.answered and not p.dropped]
         reachable = share + sum(p.weight for p in open_parts)
         if floor < need and share >= floor and (not open_parts or self.now >= self._answer_by(query)):
@@ -305,13 +303,15 @@
         order = [pair for pair in order if not pair[1].flagged(self.now)] or order
         order.sort(key=lambda pair: self._warmth(pair[1]) < self.rng.random())  # the cold last
         for following, server in order:
-            if self._has_room(server, part.spare or hedge) and self._may_send(part, server, hedge):
+            if self._has_room(server, part.spare or hedge, not hedge) and self._may_send(part, server, hedge):
                 self.turns[part.cell] = following
                 return server
         return None
 
-    def _has_room(self, server: Server, spare: bool) -> bool:
+    def _has_room(self, server: Server, spare: bool, new_call: bool = False) -> bool:
         window = 1 if server.backoff else int(server.window * (SPARE_ROOM if spare else 1.0))  # one trial
+        if new_call and self.cfg.call_work and server.out:  # wait for room for several
+            window -= min(REFILL, window // 2)
         return server.out < window
 
     def _send_waiting(self) -> None:
@@ -363,27 +363,23 @@
     def _send_copies(self) -> None:
         """Tokens go first to the query nearest to being whole; one that is lost gets none."""
         rate = max(self.parts_sent / max((self.now - self.began) / 1000.0, 1.0), 1.0)
-        refill = rate * TOKEN_SHARE
-        if self.cfg.budget_window is not None:
-            told = 1000.0 * self.cfg.budget_floor / self.cfg.budget_window + rate * self.cfg.budget_share
-            refill = min(refill, told)
-        self.tokens = min(self.tokens + refill * (self.now - self.token_at) / 1000.0, max(refill, self.bucket))
+        refill, cfg = rate * TOKEN_SHARE, self.cfg
+        if cfg.budget_window is not None:
+            refill = min(refill, 1000.0 * cfg.budget_floor / cfg.budget_window + rate * cfg.budget_share)
+        earned = refill * (self.now - self.token_at) / 1000.0
+        self.tokens = min(self.tokens + earned, max(refill, self.bucket))
         self.token_at = self.now
-        self.hungry = [a for a in self.hungry if a.outcome is None and not a.cancelled and not a.part.answered
-                       and not a.part.dropped and not a.part.query.ended]
-        quick = self.all.read(self.now)[0]
+        self.hungry = [a for a in self.hungry if a.wanted]
         missing = {a.part.query: sum(not p.answered for p in a.part.query.parts) for a in self.hungry}
         self.hungry.sort(key=lambda a: (missing[a.part.query], -a.part.query.cls.worth, a.sent))
         for attempt in self.hungry[:]:
             part = attempt.part
-            twins = sum(a.outcome is None for a in part.attempts)
-            lost = self.now + quick > part.query.aim_at
-            if self.tokens < 1.0 or lost or twins >= 1 + self.cfg.second_copies:
+            lost = self.now + self.all.read(self.now)[0] > part.query.aim_at
+            if self.tokens < 1.0 or lost or part.out > self.cfg.second_copies:
                 continue
             server = self._pick(part, [], hedge=True)
             if server is not None and not server.flagged(self.now):
                 self.tokens -= 1.0
-                attempt.hedged = True
                 self.hungry.remove(attempt)
                 self._send(part, server)
 
@@ -412,10 +408,10 @@
             server.flag_until = self.now + server.backoff
         elif event.outcome is Outcome.REJECTED or event.took > self.target:  # slow too: if all is
             self._cut(server)  # given up at its aim, no answer ever tells that the queues are too long
-        if part.answered or part.dropped or query.ended or any(a.outcome is None for a in part.attempts):
+        if part.answered or part.dropped or query.ended or part.out:
             return
-        may_have_run = not event.outcome.never_ran
-        if len(part.attempts) >= self.cfg.attempts_cap or may_have_run and query.cls.effect is Effect.UNSAFE:
+        unsafe = query.cls.effect is Effect.UNSAFE and not event.outcome.never_ran
+        if unsafe or len(part.attempts) >= self.cfg.attempts_cap:
             part.dropped = True
             self._review(query)
         else:
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -126,6 +126,11 @@
     pilot: bool = False
     attempts: list = field(default_factory=list)
 
+    @property
+    def out(self) -> int:
+        """Number of attempts with no outcome yet."""
+        return sum(attempt.outcome is None for attempt in self.attempts)
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -137,10 +142,14 @@
     sent: float
     timer: float
     fired: bool = False
-    hedged: bool = False
     cancelled: bool = False
     outcome: Outcome | None = None
 
+    @property
+    def wanted(self) -> bool:
+        """Whether it is out and its answer is still of use."""
+        return self.outcome is None and not self.part.answered and not self.part.dropped
+
     @property
     def may_have_run(self) -> bool:
         """Whether nothing proves yet that it did not."""
