--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -25,7 +25,7 @@
 QUICK_QUANTILE = 0.25  # of all answers: what an answer takes where no queue stands
 SKETCH_REFRESH = 250.0  # ms a merged percentile is kept; merging on every send costs CPU for nothing
 WINDOW = (ROTATE, SKETCH_REFRESH, (QUICK_QUANTILE, TIMER_QUANTILE))
-WINDOW_ALL, WINDOW_LEAST = 18.0, 3.0  # parts out at one server to begin with: of all routers, of each at least
+WINDOW_ALL, WINDOW_LEAST = 18.0, 3.0  # parts out at a server at first: of all routers, of each
 WINDOW_CUT = 0.8  # multiplicative decrease, at most once in a target time
 SLOW_SHARE = 0.2  # of the shortest aim: an answer later than this says that the server's queue is too long
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
@@ -68,7 +68,6 @@
         self.longest: dict[int, float] = {}  # by class: the longest time a first try was given
         self.ask_backoff, self.shortest_aim = ASK_BACKOFF, min(cls.aim for cls in settings.classes)
         self.quickest, self.target = float("inf"), self.shortest_aim  # ms: an answer later than that is slow
-        self.first_window = max(WINDOW_ALL / settings.routers, WINDOW_LEAST)
         self.hear = {io.AttemptEnded: self._ended, io.QueryArrived: self._query_arrived,
                      io.PartArrived: self._part_came, io.QueryGone: self._gone, io.ServerList: self._listed}
 
@@ -112,9 +111,9 @@
             server = self.servers.get(entry.server)
             if server is None or entry.came_up > server.came_up:  # new or restarted: the old record is void
                 span = self.cfg.cold_window + self.cfg.tick
-                new = Server(entry.server, entry.cell, entry.zone, entry.status, entry.came_up, self.first_window,
-                             LatencyWindow(*WINDOW), SlidingSum(span),
-                             lot_until=self.now + self.rng.random() * self.cfg.cold_window)
+                new = Server(entry.server, entry.cell, entry.zone, entry.status, entry.came_up,
+                             max(WINDOW_ALL / self.cfg.routers, WINDOW_LEAST), LatencyWindow(*WINDOW),
+                             SlidingSum(span), lot_until=self.now + self.rng.random() * self.cfg.cold_window)
                 new.sends = server.sends if server else new.sends  # rule 4
                 self.servers[entry.server] = server = new
             server.status, server.cell, server.zone = entry.status, entry.cell, entry.zone
@@ -310,9 +309,7 @@
         return None
 
     def _has_room(self, server: Server, spare: bool, new_call: bool = False) -> bool:
-        window = 1 if server.backoff else int(server.window)  # one trial at a time
-        if spare:
-            window = round(window * SPARE_ROOM)
+        window = 1 if server.backoff else int(server.window * (SPARE_ROOM if spare else 1.0))  # one trial
         if new_call and self.cfg.call_work and server.out:  # wait for room for several
             window -= min(REFILL, window // 2)
         return server.out < window
@@ -326,7 +323,7 @@
             if part.dropped or part.answered or query.ended:
                 continue
             piloting = not query.proven and not part.pilot
-            held = not part.attempts and (part.cell in full or piloting)
+            held = not part.attempts and (part.cell in full or piloting)  # danger: unseen queues (i6691d2)
             server = None if held else self._pick(part, called)
             if server is not None:
                 called += [server] if self.cfg.call_work and server not in called else []
@@ -397,7 +394,7 @@
             self._learn(attempt, event.took)
             if not part.answered and not part.dropped and not query.ended:
                 part.answered = True
-                pilots = [p.answered for p in query.parts if p.pilot]
+                pilots = [p.answered for p in query.parts if p.pilot]  # one sick server must not veto
                 query.proven = query.proven or sum(pilots) >= len(pilots) - max(len(pilots) // 4, 1)
                 for twin in part.attempts:
                     self._cancel(twin)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,7 +9,7 @@
 def settings(*classes, **changes):
     base = dict(
         classes=classes or (SAFE,),
-        routers=1,
+        routers=3,
         tick=5.0,
         shards=1,
         cells=1,
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -345,3 +345,53 @@
     bench.end(parts[14], 0)
     acted = bench.end(parts[15], 0)
     assert of(io.Answer, acted) == [io.Answer(query, False)] and len(bench.attempts) == 2
+
+
+def test_one_missing_pilot_part_does_not_hold_a_query_back():
+    """Danger: one paused server vetoing a query on a quiet day."""
+    bench = Bench(settings(shards=16, cells=16), servers=[listed(s, cell=s) for s in range(16)])
+    _, parts, _ = bench.query(parts=16, shards=range(16))
+    bench.end(parts[0], after=50.0)
+    assert len(bench.attempts) == 16
+
+
+def test_the_bucket_keeps_what_the_largest_query_earns_until_the_next_one():
+    """Danger: one large query every few seconds, and a bucket of one second empty for its tail."""
+    bench = Bench(settings(shards=40, cells=40), servers=[listed(s, cell=s // 2) for s in range(80)])
+    bench.query(parts=40, shards=range(40))
+    bench.run(60_000)
+    assert bench.router.tokens == 4.0
+
+
+def test_a_told_budgets_fixed_part_counts_for_the_bucket():
+    def tokens_after_a_second(floor):
+        bench = Bench(settings(budget_floor=floor, budget_share=0.05, budget_window=2000.0))
+        for _ in range(40):
+            bench.query()
+            bench.run(25)
+        return bench.router.tokens, bench.router.parts_sent
+
+    small, sent = tokens_after_a_second(0.0)
+    assert small <= 1.0 + 0.05 * max(sent, 1)
+    large, _ = tokens_after_a_second(5.0)
+    assert large >= small
+
+
+def test_a_silent_server_is_left_alone_longer_where_a_router_meets_it_seldom():
+    """Danger: parts at a server seconds apart, and a trial each second: every part is one (one_sided)."""
+    bench = Bench(settings(), servers=range(1, 61))
+    bench.run(30_000)
+    for _ in range(10):
+        _, (part,), _ = bench.query()
+        bench.run(500)
+        bench.end(part)
+    _, (part,), _ = bench.query()
+    down = bench.router.servers[bench.attempts[part][0][1]]
+    bench.end(part, 0, Outcome.BROKEN_OFF)
+    met = 60 * 35_000.0 / 11
+    assert down.flag_until - bench.now > met
+
+
+def test_windows_start_at_one_routers_share_of_a_server():
+    first = [Bench(settings(routers=n)).router.servers[1].window for n in (1, 3, 40)]
+    assert first[0] > first[1] > first[2] >= 1.0
