--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -302,9 +302,8 @@
         order = [pair for pair in order if self.now >= pair[1].flag_until] or order  # late beats silent
         order = [pair for pair in order if not pair[1].flagged(self.now)] or order
         order.sort(key=lambda pair: self._warmth(pair[1]) < self.rng.random())  # the cold last
-        spare = part.spare or hedge and self.lateness >= START_SHARE
         for following, server in order:
-            if self._has_room(server, spare, not hedge) and self._may_send(part, server, hedge):
+            if self._has_room(server, part.spare or hedge, not hedge) and self._may_send(part, server, hedge):
                 self.turns[part.cell] = following
                 return server
         return None
