--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -207,7 +207,7 @@
     def _conclude(self, query: Query, whole: bool) -> None:
         if query.step == 1 and query.cls.follow_up:
             self.actions.append(io.Answer(query.id, whole))
-            query.whole_so_far, query.step = whole, 2
+            query.whole_so_far, query.step, query.proven = whole, 2, True  # danger: a pilot of a second step
             self._drop(*query.parts)
             query.parts = []
         else:
@@ -232,7 +232,7 @@
         floor = cls.floor if cls.floor < cls.whole_at else need
         if floor < need and self.now >= query.born + START_SHARE * cls.aim:
             for part in query.parts:
-                if not part.attempts and (part.spare or not query.proven):
+                if part.spare and not part.attempts:
                     part.dropped = True
         open_parts = [p for p in query.parts if not p.answered and not p.dropped]
         reachable = share + sum(p.weight for p in open_parts)
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -394,3 +394,15 @@
 def test_windows_start_at_one_routers_share_of_a_server():
     first = [Bench(settings(routers=n)).router.servers[1].window for n in (1, 3, 40)]
     assert first[0] > first[1] > first[2] >= 1.0
+
+
+def test_a_second_step_has_a_third_of_the_aim_and_no_pilot():
+    """Danger: a second step asked for too late, or held for a pilot, makes the whole answer late."""
+    cls = io.QueryClass(aim=900.0, give_up=4000.0, worth=1.0, floor=0.5, short_worth=0.9, follow_up=3)
+    bench = Bench(settings(cls, shards=16, cells=16), servers=[listed(s, cell=s) for s in range(16)])
+    query, parts, _ = bench.query(parts=16, shards=range(16), weights=[0.55, 0.03] + [0.03] * 14)
+    bench.end(parts[0], after=10.0)
+    acted = bench.run(620)
+    assert of(io.Answer, acted) == [io.Answer(query, False)] and bench.now <= 100_000.0 + 900.0 * 2 / 3 + 50
+    seconds = bench.step(*(io.PartArrived(9000 + i, 1, i, 1 / 3) for i in range(3)))
+    assert len(of(io.Send, seconds)) == 3
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -93,6 +93,17 @@
     return sorted(sent)
 
 
+def test_rule_3_the_guard_itself_refuses_a_server_that_is_not_ready():
+    bench = Bench(settings(), servers=(1,))
+    query, (part,), _ = bench.query()
+    router = bench.router
+    server, held = router.servers[1], router.parts[part]
+    held.attempts.clear()
+    assert router._may_send(held, server, hedge=False)
+    server.status = io.Status.DRAINING
+    assert not router._may_send(held, server, hedge=False)
+
+
 def test_rule_4_all_routers_together_keep_a_cold_sole_replica_within_what_it_bears():
     """Danger: dozens of routers each sending just one part to a server that has come back."""
     for routers in (1, 3, 40):
