--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -239,6 +239,8 @@
         if floor < need and share >= floor and (not open_parts or self.now >= self._answer_by(query)):
             return self._conclude(query, False)
         unsent = sum(not p.attempts for p in open_parts)
+        if self._suspect(query) and len(query.broke) > 1 and not any(p.out for p in open_parts):
+            return self._give_up(query)
         held = unsent and not (query.started and query.proven)
         if (reachable < floor - 1e-5 or self.now >= query.dead_at
                 or held and self.now >= query.born + START_SHARE * cls.aim):
@@ -324,6 +326,7 @@
                 continue
             piloting = not query.proven and not part.pilot
             held = not part.attempts and (part.cell in full or piloting)  # danger: unseen queues (i6691d2)
+            held = held or self._suspect(query) and any(p.out for p in query.parts)
             server = None if held else self._pick(part, called)
             if server is not None:
                 called += [server] if self.cfg.call_work and server not in called else []
@@ -392,6 +395,7 @@
         server.overdue -= attempt.fired
         if event.outcome is Outcome.ANSWERED:
             self._learn(attempt, event.took)
+            query.vouched = True
             if not part.answered and not part.dropped and not query.ended:
                 part.answered = True
                 pilots = [p.answered for p in query.parts if p.pilot]  # one sick server must not veto
@@ -408,6 +412,8 @@
             server.flag_until = self.now + server.backoff
         elif event.outcome is Outcome.REJECTED or event.took > self.target:  # slow too: if all is
             self._cut(server)  # given up at its aim, no answer ever tells that the queues are too long
+        if event.outcome is Outcome.BROKEN_OFF:
+            query.broke.add(server.id)
         if part.answered or part.dropped or query.ended or part.out:
             return
         unsafe = query.cls.effect is Effect.UNSAFE and not event.outcome.never_ran
@@ -416,6 +422,15 @@
             self._review(query)
         else:
             self.waiting.append(part)
+            self._review(query)
+
+    def _suspect(self, query: Query) -> bool:
+        """A query none of whose parts was answered, and one broke off a connection, may have done it itself.
+
+        Danger: a poisonous query takes down each server that begins a part of it, and every further attempt
+        takes down the next. An answered part clears it; until one does, one part at a time goes on.
+        """
+        return bool(query.broke) and not query.vouched
 
     def _learn(self, attempt: Attempt, took: float) -> None:
         server = attempt.server
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -108,6 +108,8 @@
     whole_so_far: bool = True
     started: bool = False
     proven: bool = True
+    vouched: bool = False
+    broke: set = field(default_factory=set)
     ended: bool = False
     parts: list = field(default_factory=list)
 
