Attempts time out at the query's aim: dead work is not begun where a cancel frees nothing

A time-out no longer sets its server aside by itself, silence since the send does: at the aim every server would be.

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -338,16 +338,18 @@
         self.waiting = keep
 
     def _send(self, part: Part, server: Server) -> None:
+        query = part.query
         if part.attempts:
             self.extras.add(self.now)
-        attempt = Attempt(part, len(part.attempts), server, self.now, self._timer(part.query.cls, server))
+        attempt = Attempt(part, len(part.attempts), server, self.now, self._timer(query.cls, server))
         part.attempts.append(attempt)
-        part.query.started = True
+        query.started = True
         self.out[part.id, attempt.number] = attempt
         server.out += 1
         server.sends.add(self.now)
         self.parts_sent += len(part.attempts) == 1
-        self.actions.append(io.Send(part.id, server.id, 0.0))
+        useful = query.aim_at if self.now < query.aim_at else query.dead_at
+        self.actions.append(io.Send(part.id, server.id, max(useful - self.now, MIN_TIMER)))
         self._at(self.now + attempt.timer, self._timer_fired, attempt)
 
     def _timer(self, cls: io.QueryClass, server: Server) -> float:
@@ -405,7 +407,7 @@
                 self._review(query)
             return
         silent = attempt.fired and server.last_answer < attempt.sent
-        if silent or event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF, Outcome.TIMED_OUT):
+        if silent or event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF):
             met = len(self.servers) * (self.now - self.began) / max(self.parts_sent, 1)
             first = max(TRIAL_FIRST, TRIAL_TURNS * met)
             server.backoff = min(max(2 * server.backoff, first), TRIAL_LAST * first / TRIAL_FIRST)
