--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -24,7 +24,7 @@
 FLEET_TIMER = 1.5  # a server's timer is at most so many overall p90s: a slow server's own p90 is slow too
 QUICK_QUANTILE = 0.25  # of all answers: what an answer takes where no queue stands
 SKETCH_REFRESH = 250.0  # ms a merged percentile is kept; merging on every send costs CPU for nothing
-WINDOW = (ROTATE, SKETCH_REFRESH, (QUICK_QUANTILE, 0.5, TIMER_QUANTILE))
+WINDOW = (ROTATE, SKETCH_REFRESH, (QUICK_QUANTILE, TIMER_QUANTILE))
 WINDOW_ALL, WINDOW_LEAST = 18.0, 3.0  # parts out at a server at first: of all routers, of each
 WINDOW_CUT = 0.8  # multiplicative decrease, at most once in a target time
 SLOW_SHARE = 0.2  # of the shortest aim: an answer later than this says that the server's queue is too long
@@ -35,7 +35,6 @@
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
 SPARE_ROOM = 0.5  # of a server's window is open to them, and to copies: under load a copy robs a first try
-SLOW_MEDIANS = 3.0  # overall medians: an answer later than that sets its server aside
 TRIAL_TURNS = 2.0  # times between our parts at one server: a sooner trial at size would be every part
 TRIAL_FIRST, TRIAL_LAST = 1_000.0, 8_000.0  # ms until a silent server is tried again, doubling
 COLD_PART, COLD_PUSH = 0.8, 2.0  # of what the cold rule allows; times what a cold server can do at least
@@ -202,7 +201,7 @@
 
     def _answer_by(self, query: Query) -> float:
         """When a partial answer goes out: at the aim, with time left for a second step."""
-        second = max(SECOND_STEP * self.all.read(self.now)[2], BLIND_TIMER * query.cls.aim)
+        second = max(SECOND_STEP * self.all.read(self.now)[1], BLIND_TIMER * query.cls.aim)
         return query.aim_at - 3 * self.cfg.tick - (second if query.step == 1 and query.cls.follow_up else 0.0)
 
     def _conclude(self, query: Query, whole: bool) -> None:
@@ -355,8 +354,8 @@
 
     def _timer(self, cls: io.QueryClass, server: Server) -> float:
         """That server's p90, or the aggregator's; bounded by the aggregator's."""
-        overall = self.all.read(self.now)[2]
-        own = server.sketch.read(self.now)[2] if server.sketch.count(self.now) >= ENOUGH else overall
+        overall = self.all.read(self.now)[1]
+        own = server.sketch.read(self.now)[1] if server.sketch.count(self.now) >= ENOUGH else overall
         return max(min(own, FLEET_TIMER * overall, BLIND_TIMER * cls.aim) or BLIND_TIMER * cls.aim, MIN_TIMER)
 
     def _timer_fired(self, attempt: Attempt) -> None:
@@ -409,7 +408,10 @@
             return
         silent = attempt.fired and server.last_answer < attempt.sent
         if silent or event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF):
-            self._set_aside(server)
+            met = len(self.servers) * (self.now - self.began) / max(self.parts_sent, 1)
+            first = max(TRIAL_FIRST, TRIAL_TURNS * met)
+            server.backoff = min(max(2 * server.backoff, first), TRIAL_LAST * first / TRIAL_FIRST)
+            server.flag_until = self.now + server.backoff
         elif event.outcome is Outcome.REJECTED or event.took > self.target:  # slow too: if all is
             self._cut(server)  # given up at its aim, no answer ever tells that the queues are too long
         if event.outcome is Outcome.BROKEN_OFF:
@@ -432,23 +434,14 @@
         """
         return bool(query.broke) and not query.vouched
 
-    def _set_aside(self, server: Server) -> None:
-        met = len(self.servers) * (self.now - self.began) / max(self.parts_sent, 1)
-        first = max(TRIAL_FIRST, TRIAL_TURNS * met)
-        server.backoff = min(max(2 * server.backoff, first), TRIAL_LAST * first / TRIAL_FIRST)
-        server.flag_until = self.now + server.backoff
-
     def _learn(self, attempt: Attempt, took: float) -> None:
         server = attempt.server
         self.last_answer = server.last_answer = self.now
         self.lateness += ((took > self.target) - self.lateness) / ENOUGH
         server.sketch.add(self.now, took)
         self.all.add(self.now, took)
-        if attempt.fired and took > SLOW_MEDIANS * self.all.read(self.now)[1]:
-            self._set_aside(server)
-        else:
-            server.backoff = server.backoff / 2 if server.backoff > 2 * TRIAL_FIRST else 0.0
-            server.flag_until = float("-inf")
+        server.backoff = server.backoff / 2 if server.backoff > 2 * TRIAL_FIRST else 0.0
+        server.flag_until = float("-inf")
         if self.all.count(self.now) >= ENOUGH:  # the quickest ever: a queue must not raise its bar
             self.quickest = min(self.quickest, self.all.read(self.now)[0])
             self.target = max(SLOW_SHARE * self.shortest_aim, SLOW_FACTOR * self.quickest)
