--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -348,7 +348,8 @@
         server.out += 1
         server.sends.add(self.now)
         self.parts_sent += len(part.attempts) == 1
-        useful = query.aim_at if self.now < query.aim_at else query.dead_at
+        late_pays = query.cls.late_worth > 0 and self.lateness < START_SHARE
+        useful = query.dead_at if late_pays or self.now >= query.aim_at else query.aim_at
         self.actions.append(io.Send(part.id, server.id, max(useful - self.now, MIN_TIMER)))
         self._at(self.now + attempt.timer, self._timer_fired, attempt)
 
