--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -32,6 +32,7 @@
 START_SHARE = 0.25  # of the aim: what could not start by then is refused while a repeat can still pay
 PILOT = 8  # one in so many of a query's parts goes ahead where no recent answer tells how long the queues are
 PILOT_LEAST = 3  # parts of a query that sends a pilot at all
+PILOT_LATE = 0.5  # share of late ones among the last answers from which on pilots are sent
 WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
@@ -148,7 +149,7 @@
         self.queries[query.id] = self.numbers[query.number] = query
         self.taken.add(self.now)
         self.bucket = max(self.bucket, TOKEN_SHARE * event.parts)
-        prompt = self.now < self.last_answer + cls.aim and self.lateness < START_SHARE
+        prompt = self.now < self.last_answer + cls.aim and self.lateness < PILOT_LATE
         query.proven = event.parts < PILOT_LEAST or prompt
         density = cls.worth / (event.parts + cls.follow_up)
         self.densest = max(self.densest, density)
