--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -31,8 +31,7 @@
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
 START_SHARE = 0.25  # of the aim: what could not start by then is refused while a repeat can still pay
 PILOT = 8  # one in so many of a query's parts goes ahead where no recent answer tells how long the queues are
-PILOT_LEAST = 3  # parts of a query that sends a pilot at all
-PILOT_LATE, PILOT_SPOILT = 0.5, 12.0  # if so many of the last answers, or parts of it by their share, are late
+PILOT_LATE = 2.0  # parts of a query expected late, by the last answers, from which on it sends a pilot
 WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
@@ -149,8 +148,8 @@
         self.queries[query.id] = self.numbers[query.number] = query
         self.taken.add(self.now)
         self.bucket = max(self.bucket, TOKEN_SHARE * event.parts)
-        prompt = self.lateness < min(PILOT_LATE, PILOT_SPOILT / event.parts)
-        query.proven = event.parts < PILOT_LEAST or prompt and self.now < self.last_answer + cls.aim
+        prompt = self.lateness < max(START_SHARE, PILOT_LATE / event.parts)
+        query.proven = event.parts <= PILOT_LATE or prompt and self.now < self.last_answer + cls.aim
         density = cls.worth / (event.parts + cls.follow_up)
         self.densest = max(self.densest, density)
         start_by = query.born + START_SHARE * cls.aim
