--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -312,7 +312,7 @@
         return None
 
     def _has_room(self, server: Server, spare: bool, new_call: bool = False) -> bool:
-        window = 1 if server.backoff else max(int(server.window * (SPARE_ROOM if spare else 1.0)), 1)
+        window = 1 if server.backoff else int(server.window * (SPARE_ROOM if spare else 1.0))  # one trial
         if new_call and self.cfg.call_work and server.out:  # wait for room for several
             window -= min(REFILL, window // 2)
         return server.out < window
