--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import heapq
-import math
 import random
 from collections.abc import Iterable
 
@@ -247,15 +246,8 @@
         start_by = query.born + START_SHARE * cls.aim
         if query.started and floor < need:  # danger: an answer in part thrown away for a pilot one turn late
             start_by = self._answer_by(query)
-        elif query.started and not query.proven:  # danger: one pilot a turn late is no proof of long queues
-            steps = 2 if cls.follow_up else 1
-            rest = steps * self.all.read(self.now)[1] * math.log2(len(query.parts)) / 2
-            start_by = max(start_by, query.aim_at - rest)
         if reachable < floor - 1e-5 or self.now >= query.dead_at or held and self.now >= start_by:
             return self._give_up(query)
-        if held and not query.waits and query.started:
-            query.waits = True
-            self._at(start_by, self._review, query)
         if self.now >= query.aim_at - 2 * self.cfg.tick:
             if cls.late_worth <= 0 or unsent or self.waiting:
                 return self._give_up(query)
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -109,7 +109,6 @@
     started: bool = False
     proven: bool = True
     vouched: bool = False
-    waits: bool = False
     broke: set = field(default_factory=set)
     ended: bool = False
     parts: list = field(default_factory=list)
