--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -162,7 +162,7 @@
             return
         self.taken.add(self.now)
         part = Part(event.part, query, event.shard % self.cfg.cells, event.weight)
-        part.pilot = len(query.parts) % PILOT < (2 if len(query.parts) < PILOT else 1)
+        part.pilot = len(query.parts) % PILOT == 0
         query.parts.append(part)
         self.parts[part.id] = part
         if query.step == 1 and query.cls.floor < query.cls.whole_at:  # light parts yield under load
