--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -31,6 +31,7 @@
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
 START_SHARE = 0.25  # of the aim: what could not start by then is refused while a repeat can still pay
 PILOT = 8  # one in so many of a query's parts goes ahead where no recent answer tells how long the queues are
+PILOT_ROOM = 4.0  # p90s in an aim that leaves room for a pilot of every query
 PILOT_LATE = 2.0  # parts of a query expected late, by the last answers, from which on it sends a pilot
 WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
 REFILL = 2  # more parts of room than one before a busy server gets another call, where calls cost work
@@ -149,7 +150,9 @@
         self.taken.add(self.now)
         self.bucket = max(self.bucket, TOKEN_SHARE * event.parts)
         prompt = self.lateness < max(START_SHARE, PILOT_LATE / event.parts)
-        query.proven = event.parts <= PILOT_LATE or prompt and self.now < self.last_answer + cls.aim
+        prompt = prompt and self.now < self.last_answer + cls.aim
+        query.careful = prompt and cls.aim >= PILOT_ROOM * self.all.read(self.now)[1]
+        query.proven = event.parts <= PILOT_LATE or prompt and not query.careful
         density = cls.worth / (event.parts + cls.follow_up)
         self.densest = max(self.densest, density)
         start_by = query.born + START_SHARE * cls.aim
@@ -162,7 +165,7 @@
             return
         self.taken.add(self.now)
         part = Part(event.part, query, event.shard % self.cfg.cells, event.weight)
-        part.pilot = len(query.parts) % PILOT == 0
+        part.pilot = len(query.parts) % PILOT == 0 and not (query.careful and query.parts)
         query.parts.append(part)
         self.parts[part.id] = part
         if query.step == 1 and query.cls.floor < query.cls.whole_at:  # light parts yield under load
@@ -170,7 +173,7 @@
             total = 0.0
             for one in query.parts:
                 one.spare, total = total > query.cls.floor + 0.05, total + one.weight
-                one.pilot = not one.spare
+                one.pilot = one is query.parts[0] if query.careful else not one.spare
         self.waiting.append(part)
 
     def _gone(self, event: io.QueryGone) -> None:
@@ -366,6 +369,8 @@
         if attempt.outcome is not None:
             return
         attempt.fired, attempt.server.overdue = True, attempt.server.overdue + 1
+        query = attempt.part.query
+        query.proven = query.proven or query.careful and not self._suspect(query)
         if not attempt.part.query.ended and attempt.part.query.cls.effect is Effect.SAFE:
             self.hungry.append(attempt)
 
@@ -405,7 +410,7 @@
             if not part.answered and not part.dropped and not query.ended:
                 part.answered = True
                 pilots = [p.answered for p in query.parts if p.pilot]  # one sick server must not veto
-                query.proven = query.proven or sum(pilots) >= len(pilots) - max(len(pilots) // 4, 1)
+                query.proven = query.proven or query.careful or sum(pilots) >= len(pilots) - max(len(pilots) // 4, 1)
                 for twin in part.attempts:
                     self._cancel(twin)
                 self._review(query)
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -108,6 +108,7 @@
     whole_so_far: bool = True
     started: bool = False
     proven: bool = True
+    careful: bool = False
     vouched: bool = False
     broke: set = field(default_factory=set)
     ended: bool = False
