--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -151,7 +151,7 @@
         self.bucket = max(self.bucket, TOKEN_SHARE * event.parts)
         prompt = self.lateness < max(START_SHARE, PILOT_LATE / event.parts)
         prompt = prompt and self.now < self.last_answer + cls.aim
-        query.careful = prompt and cls.aim >= PILOT_ROOM * self.all.read(self.now)[1]
+        query.careful = prompt and event.parts >= PILOT and cls.aim >= PILOT_ROOM * self.all.read(self.now)[1]
         query.proven = event.parts <= PILOT_LATE or prompt and not query.careful
         density = cls.worth / (event.parts + cls.follow_up)
         self.densest = max(self.densest, density)
