--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -64,6 +64,7 @@
         self.densest = 0.0  # the most worth a part of any query yet
         self.parts_sent, self.tokens, self.last_answer = 0, 1.0, float("-inf")
         self.bucket = 1.0  # tokens it holds: what the largest query's parts earn, however seldom one comes
+        self.wary_until = float("-inf")  # a query took down servers not long ago
         self.lateness = 0.0  # share of late ones among the last answers
         span = settings.budget_window or 0.0  # the ledger of rule 6: requests taken, attempts beyond a first
         self.taken, self.extras = SlidingSum(span), SlidingSum(span + settings.tick)
@@ -151,7 +152,8 @@
         self.bucket = max(self.bucket, TOKEN_SHARE * event.parts)
         prompt = self.lateness < max(START_SHARE, PILOT_LATE / event.parts)
         prompt = prompt and self.now < self.last_answer + cls.aim
-        query.careful = prompt and event.parts >= PILOT and cls.aim >= PILOT_ROOM * self.all.read(self.now)[1]
+        roomy = event.parts >= PILOT and cls.aim >= PILOT_ROOM * self.all.read(self.now)[1]
+        query.careful, query.prompt = prompt and roomy or self.now < self.wary_until, prompt
         query.proven = event.parts <= PILOT_LATE or prompt and not query.careful
         density = cls.worth / (event.parts + cls.follow_up)
         self.densest = max(self.densest, density)
@@ -370,7 +372,7 @@
             return
         attempt.fired, attempt.server.overdue = True, attempt.server.overdue + 1
         query = attempt.part.query
-        query.proven = query.proven or query.careful and not self._suspect(query)
+        query.proven = query.proven or query.careful and query.prompt and not self._suspect(query)
         if not attempt.part.query.ended and attempt.part.query.cls.effect is Effect.SAFE:
             self.hungry.append(attempt)
 
@@ -425,6 +427,8 @@
             self._cut(server)  # given up at its aim, no answer ever tells that the queues are too long
         if event.outcome is Outcome.BROKEN_OFF:
             query.broke.add(server.id)
+            if self._suspect(query) and len(query.broke) > 1:  # its client will ask again
+                self.wary_until = self.now + ROTATE
         if part.answered or part.dropped or query.ended or part.out:
             return
         unsafe = query.cls.effect is Effect.UNSAFE and not event.outcome.never_ran
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -109,6 +109,7 @@
     started: bool = False
     proven: bool = True
     careful: bool = False
+    prompt: bool = False
     vouched: bool = False
     broke: set = field(default_factory=set)
     ended: bool = False
