A part reset at once on a long unused connection is no evidence against its server; such connections are closed first

Told from a dying server by the time: a part begun takes half of the quickest answers at least, and a dead server refuses the next connection. The time unused is measured (the shortest that was reset, less a fifth), kept for a rotation.

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -39,6 +39,8 @@
 SPARE_ROOM = 0.5  # of a server's window is open to them, and to copies: under load a copy robs a first try
 TRIAL_TURNS = 2.0  # times between our parts at one server: a sooner trial at size would be every part
 TRIAL_FIRST, TRIAL_LAST = 1_000.0, 8_000.0  # ms until a silent server is tried again, doubling
+IDLE_RESET = 0.5  # of the quickest answers: a part reset sooner met a dead connection, not a dying server
+IDLE_MARGIN = 0.8  # of the shortest time unused after which a connection was reset
 COLD_PART, COLD_PUSH = 0.8, 2.0  # of what the cold rule allows; times what a cold server can do at least
 HEDGE_LEDGER = 0.6  # of the told budget may go to hedges; the rest is kept for retries after a crash
 HOLD_OFF = 0.15  # of the aim: when a client that was turned away should come back
@@ -65,6 +67,7 @@
         self.parts_sent, self.tokens, self.last_answer = 0, 1.0, float("-inf")
         self.bucket = 1.0  # tokens it holds: what the largest query's parts earn, however seldom one comes
         self.wary_until = float("-inf")  # a query took down servers not long ago
+        self.idle_trust, self.idle_until = float("inf"), float("-inf")  # ms a connection lives unused
         self.lateness = 0.0  # share of late ones among the last answers
         span = settings.budget_window or 0.0  # the ledger of rule 6: requests taken, attempts beyond a first
         self.taken, self.extras = SlidingSum(span), SlidingSum(span + settings.tick)
@@ -353,6 +356,11 @@
         part.attempts.append(attempt)
         query.started = True
         self.out[part.id, attempt.number] = attempt
+        attempt.idle = 0.0 if server.out else self.now - server.used
+        if self.idle_trust <= attempt.idle < float("inf") and self.now < self.idle_until:
+            self.actions.append(io.CloseIdle(server.id))  # danger: a part lost on a connection dropped unseen
+            attempt.idle = 0.0
+        server.used = self.now
         server.out += 1
         server.sends.add(self.now)
         self.parts_sent += len(part.attempts) == 1
@@ -406,19 +414,28 @@
         attempt.outcome = event.outcome
         server.out -= 1
         server.overdue -= attempt.fired
+        at_once = event.took < min(IDLE_RESET * min(self.quickest, self.shortest_aim), attempt.idle)
+        reaped = at_once and event.outcome is Outcome.BROKEN_OFF and attempt.idle < float("inf")
+        if reaped:
+            self.idle_trust = min(self.idle_trust, IDLE_MARGIN * attempt.idle)
+            self.idle_until = self.now + ROTATE
         if event.outcome is Outcome.ANSWERED:
+            server.used = self.now
             self._learn(attempt, event.took)
             query.vouched = True
             if not part.answered and not part.dropped and not query.ended:
                 part.answered = True
-                pilots = [p.answered for p in query.parts if p.pilot]  # one sick server must not veto
-                query.proven = query.proven or query.careful or sum(pilots) >= len(pilots) - max(len(pilots) // 4, 1)
+                pilots = [p.answered for p in query.parts if p.pilot]
+                enough = sum(pilots) >= len(pilots) - max(len(pilots) // 4, 1)  # one sick must not veto
+                query.proven = query.proven or query.careful or enough
                 for twin in part.attempts:
                     self._cancel(twin)
                 self._review(query)
             return
         silent = attempt.fired and server.last_answer < attempt.sent
-        if silent or event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF):
+        if reaped:  # that a connection was dropped says nothing of the server
+            pass
+        elif silent or event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF):
             met = len(self.servers) * (self.now - self.began) / max(self.parts_sent, 1)
             first = max(TRIAL_FIRST, TRIAL_TURNS * met)
             server.backoff = min(max(2 * server.backoff, first), TRIAL_LAST * first / TRIAL_FIRST)
@@ -427,7 +444,7 @@
             self._cut(server)  # given up at its aim, no answer ever tells that the queues are too long
         if event.outcome is Outcome.BROKEN_OFF:
             query.broke.add(server.id)
-            if self._suspect(query) and len(query.broke) > 1:  # its client will ask again
+            if self._suspect(query) and len(query.broke) > 1 and not reaped:  # its client will ask again
                 self.wary_until = self.now + ROTATE
         if part.answered or part.dropped or query.ended or part.out:
             return
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -84,6 +84,7 @@
     last_answer: float = float("-inf")
     flag_until: float = float("-inf")
     backoff: float = 0.0
+    used: float = float("-inf")
     lot: float = 0.0
     lot_until: float = 0.0
 
@@ -145,6 +146,7 @@
     server: Server
     sent: float
     timer: float
+    idle: float = 0.0
     fired: bool = False
     cancelled: bool = False
     outcome: Outcome | None = None
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -327,7 +327,9 @@
     assert len(bench.attempts) == 16
     for part in parts[2:]:
         bench.end(part)
-    bench.query(parts=16, shards=range(16))  # an answer was quick just now: all at once
+    _, parts, _ = bench.query(parts=16, shards=range(16))  # quick answers: one part, then all at once
+    assert len(bench.attempts) == 17
+    bench.end(parts[0], after=50.0)
     assert len(bench.attempts) == 32
     bench.run(2000)
     late, parts, _ = bench.query(parts=16, shards=range(16))
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -74,3 +74,58 @@
     sent = [part for part in parts if part in bench.attempts]
     acted = [action for part in sent for action in bench.end(part, 0)] + bench.run(600)
     assert [a.query for a in of(io.Answer, acted)] == [query]
+
+
+def test_a_long_query_sends_one_part_ahead_where_its_aim_has_room():
+    """Danger: one poisonous query of 15 parts taking down 15 servers in the same moment (he9cb32)."""
+    bench = spread(16)
+    _, parts, _ = bench.query(parts=16, shards=range(16))
+    assert [part for part in parts if part in bench.attempts] == parts[:1]
+    bench.end(parts[0], after=50.0)
+    assert all(part in bench.attempts for part in parts)
+
+
+def test_a_late_pilot_frees_the_rest_unless_a_connection_broke():
+    """Danger: one paused server holding up every long query of a quiet day."""
+    bench = spread(16)
+    _, parts, _ = bench.query(parts=16, shards=range(16))
+    bench.run(400)
+    assert all(part in bench.attempts for part in parts)
+
+
+def test_after_a_poisonous_query_every_query_sends_one_part_ahead():
+    """Danger: its client asks again, and the same servers go down again."""
+    bench = spread(8)
+    _, parts, _ = bench.query(parts=4, shards=[0, 2, 4, 6])
+    bench.run(60)
+    for part in parts:
+        bench.end(part, outcome=Outcome.BROKEN_OFF)
+    bench.step(io.ServerList(io.ListKind.FULL, tuple(listed(s, cell=s) for s in range(8))))
+    _, parts, _ = bench.query(parts=4, shards=[0, 2, 4, 6])
+    bench.run(60)
+    assert sum(part in bench.attempts for part in parts) == 1
+
+
+def test_a_reset_on_an_unused_connection_says_nothing_of_its_server_and_is_not_met_twice():
+    """Danger: idle connections dropped unseen; servers set aside and unsafe parts failed by the dozen."""
+    bench = spread(4)
+    bench.run(3000)
+    _, (part,), _ = bench.query(shards=[0])
+    server = bench.attempts[part][0][1]
+    bench.end(part, outcome=Outcome.BROKEN_OFF, after=5.0)
+    assert not bench.router.servers[server].backoff
+    bench.run(3000)
+    acted = bench.query(shards=[2])[2]
+    send = of(io.Send, acted)[0]
+    assert of(io.CloseIdle, acted) == [io.CloseIdle(send.server)]
+    assert acted.index(io.CloseIdle(send.server)) < acted.index(send)
+
+
+def test_a_connection_that_breaks_under_work_sets_its_server_aside():
+    """The other side: a server that dies with a part begun is not taken for an idle connection."""
+    bench = spread(4)
+    bench.run(3000)
+    _, (part,), _ = bench.query(shards=[0])
+    server = bench.attempts[part][0][1]
+    bench.end(part, outcome=Outcome.BROKEN_OFF, after=200.0)
+    assert bench.router.servers[server].backoff
