--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -31,6 +31,7 @@
 SLOW_FACTOR = 2.5  # or later than so many quick quartiles, where the aim is short beside the work
 START_SHARE = 0.25  # of the aim: what could not start by then is refused while a repeat can still pay
 PILOT = 8  # one in so many of a query's parts goes ahead where no recent answer tells how long the queues are
+PILOT_REST = 4.0  # parts that take about one p90 together; a pilot is waited for while the rest can be in time
 PILOT_ROOM = 4.0  # p90s in an aim that leaves room for a pilot of every query
 PILOT_LATE = 2.0  # parts of a query expected late, by the last answers, from which on it sends a pilot
 WORTH_LAG = 0.25  # of the aim: how far a query of little worth a part falls back in the line
@@ -254,8 +255,14 @@
         start_by = query.born + START_SHARE * cls.aim
         if query.started and floor < need:  # danger: an answer in part thrown away for a pilot one turn late
             start_by = self._answer_by(query)
+        elif query.started and not query.proven:  # danger: one late pilot is no proof of long queues
+            rest = self.all.read(self.now)[1] * len(query.parts) / PILOT_REST
+            start_by = max(start_by, query.aim_at - rest)
         if reachable < floor - 1e-5 or self.now >= query.dead_at or held and self.now >= start_by:
             return self._give_up(query)
+        if held and query.started and not query.waits:
+            query.waits = True
+            self._at(start_by, self._review, query)
         if self.now >= query.aim_at - 2 * self.cfg.tick:
             if cls.late_worth <= 0 or unsent or self.waiting:
                 return self._give_up(query)
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -112,6 +112,7 @@
     careful: bool = False
     prompt: bool = False
     vouched: bool = False
+    waits: bool = False
     broke: set = field(default_factory=set)
     ended: bool = False
     parts: list = field(default_factory=list)
