An error sets its server aside as silence does

Told from a class that fails everywhere: then all are aside, and turns go on among them. An answer readmits.

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -442,7 +442,7 @@
         silent = attempt.fired and server.last_answer < attempt.sent
         if reaped:  # that a connection was dropped says nothing of the server
             pass
-        elif silent or event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF):
+        elif silent or event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF, Outcome.ERROR):
             met = len(self.servers) * (self.now - self.began) / max(self.parts_sent, 1)
             first = max(TRIAL_FIRST, TRIAL_TURNS * met)
             server.backoff = min(max(2 * server.backoff, first), TRIAL_LAST * first / TRIAL_FIRST)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -129,3 +129,28 @@
     server = bench.attempts[part][0][1]
     bench.end(part, outcome=Outcome.BROKEN_OFF, after=200.0)
     assert bench.router.servers[server].backoff
+
+
+def test_a_small_query_waits_for_its_pilot_while_the_rest_can_be_in_time():
+    """Danger: one late pilot of a sound fleet refusing a third of the small queries (a deploy at size)."""
+    bench = spread(8)
+    for _ in range(40):
+        _, (part,), _ = bench.query(shards=[bench.numbers % 8])
+        bench.end(part, after=300.0)
+    query, parts, _ = bench.query(parts=4, shards=[0, 2, 4, 6])
+    (pilot,) = [part for part in parts if part in bench.attempts]
+    assert not of(io.Shed, bench.run(400))
+    bench.end(pilot, 0)
+    assert all(part in bench.attempts for part in parts)
+
+
+def test_a_server_that_fails_quickly_is_set_aside():
+    """Danger: quick errors keep a server's room free, and it attracts more parts than the sound ones."""
+    bench = spread(2, routers=1)
+    _, (part,), _ = bench.query(shards=[0])
+    failing = bench.attempts[part][0][1]
+    bench.end(part, outcome=Outcome.ERROR, after=5.0)
+    for _ in range(6):
+        _, (part,), _ = bench.query(shards=[0])
+        assert bench.attempts[part][0][1] != failing
+        bench.end(part, after=80.0)
