--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -47,6 +47,7 @@
 HOLD_OFF = 0.15  # of the aim: when a client that was turned away should come back
 NEAR_TURNS = 4  # turns of a replica in our own zone for each of one elsewhere, where crossing has a price
 ASK_BACKOFF, ASK_BACKOFF_LAST = 200.0, 3_000.0  # ms between calls to discovery after a failure
+STALL = 20  # ticks: a wake-up later than that tells that this router stood still itself
 RECHECK = 100.0  # ms between looks at a query that is past its aim
 
 
@@ -67,6 +68,7 @@
         self.densest = 0.0  # the most worth a part of any query yet
         self.parts_sent, self.tokens, self.last_answer = 0, 1.0, float("-inf")
         self.bucket = 1.0  # tokens it holds: what the largest query's parts earn, however seldom one comes
+        self.stalled = False
         self.wary_until = float("-inf")  # a query took down servers not long ago
         self.idle_trust, self.idle_until = float("inf"), float("-inf")  # ms a connection lives unused
         self.lateness = 0.0  # share of late ones among the last answers
@@ -84,6 +86,8 @@
         if self.began is None:
             self.began = self.token_at = now_ms
             self._watch(None)
+        due = self.agenda[0][0] if self.agenda else now_ms
+        self.stalled = now_ms - due > STALL * self.cfg.tick  # danger: our own standing still taken for lateness
         for event in events:
             if type(event) in self.hear:
                 self.hear[type(event)](event)
@@ -474,6 +478,8 @@
     def _learn(self, attempt: Attempt, took: float) -> None:
         server = attempt.server
         self.last_answer = server.last_answer = self.now
+        if self.stalled:
+            return
         self.lateness += ((took > self.target) - self.lateness) / ENOUGH
         server.sketch.add(self.now, took)
         self.all.add(self.now, took)
