--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -68,7 +68,7 @@
         self.densest = 0.0  # the most worth a part of any query yet
         self.parts_sent, self.tokens, self.last_answer = 0, 1.0, float("-inf")
         self.bucket = 1.0  # tokens it holds: what the largest query's parts earn, however seldom one comes
-        self.stalled, self.steady_at = False, float("-inf")
+        self.stalled = False
         self.wary_until = float("-inf")  # a query took down servers not long ago
         self.idle_trust, self.idle_until = float("inf"), float("-inf")  # ms a connection lives unused
         self.lateness = 0.0  # share of late ones among the last answers
@@ -87,8 +87,7 @@
             self.began = self.token_at = now_ms
             self._watch(None)
         due = self.agenda[0][0] if self.agenda else now_ms
-        self.stalled = now_ms - due > STALL * self.cfg.tick
-        self.steady_at = now_ms + ROTATE if self.stalled else self.steady_at  # danger: our own standing still taken for lateness
+        self.stalled = now_ms - due > STALL * self.cfg.tick  # danger: our own standing still taken for lateness
         for event in events:
             if type(event) in self.hear:
                 self.hear[type(event)](event)
@@ -162,7 +161,6 @@
         prompt = self.lateness < max(START_SHARE, PILOT_LATE / event.parts)
         prompt = prompt and self.now < self.last_answer + cls.aim
         roomy = event.parts >= PILOT and cls.aim >= PILOT_ROOM * self.all.read(self.now)[1]
-        roomy = roomy and self.now >= self.steady_at  # danger: a second wave waits through our next stall
         query.careful, query.prompt = prompt and roomy or self.now < self.wary_until, prompt
         query.proven = event.parts <= PILOT_LATE or prompt and not query.careful
         density = cls.worth / (event.parts + cls.follow_up)
