A copy is sent only where the tokens reach for all missing parts of its query

Also covers any trouble that makes many parts late at once: copies can't help then. Hurts a long query that two copies would still have helped a bit.

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -87,7 +87,7 @@
             self.began = self.token_at = now_ms
             self._watch(None)
         due = self.agenda[0][0] if self.agenda else now_ms
-        self.stalled = now_ms - due > STALL * self.cfg.tick  # danger: our own standing still taken for lateness
+        self.stalled = now_ms - due > STALL * self.cfg.tick  # danger: taken for late servers
         for event in events:
             if type(event) in self.hear:
                 self.hear[type(event)](event)
@@ -410,7 +410,8 @@
         for attempt in self.hungry[:]:
             part = attempt.part
             lost = self.now + self.all.read(self.now)[0] > part.query.aim_at
-            if self.tokens < 1.0 or lost or part.out > self.cfg.second_copies:
+            short = self.tokens < max(1.0, missing[part.query])  # danger: copies that make none whole
+            if short or lost or part.out > self.cfg.second_copies:
                 continue
             server = self._pick(part, [], hedge=True)
             if server is not None and not server.flagged(self.now):
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -61,7 +61,8 @@
     bench = spread(8)
     for _ in range(40):
         _, (part,), _ = bench.query(shards=[bench.numbers % 8])
-        bench.end(part, after=900.0)
+        bench.run(900)
+        bench.end(part, 0)
     _, parts, _ = bench.query(parts=4, shards=[0, 2, 4, 6])
     assert sum(part in bench.attempts for part in parts) == 1
 
@@ -136,7 +137,8 @@
     bench = spread(8)
     for _ in range(40):
         _, (part,), _ = bench.query(shards=[bench.numbers % 8])
-        bench.end(part, after=300.0)
+        bench.run(300)
+        bench.end(part, 0)
     query, parts, _ = bench.query(parts=4, shards=[0, 2, 4, 6])
     (pilot,) = [part for part in parts if part in bench.attempts]
     assert not of(io.Shed, bench.run(400))
@@ -154,3 +156,26 @@
         _, (part,), _ = bench.query(shards=[0])
         assert bench.attempts[part][0][1] != failing
         bench.end(part, after=80.0)
+
+
+def test_tokens_are_kept_for_queries_that_they_can_make_whole():
+    """Danger: copies for a query that misses many parts, and none for the one that misses its last."""
+    bench = spread(16)
+    bench.router.tokens = 1.0
+    _, many, _ = bench.query(parts=6, shards=range(0, 12, 2))
+    bench.run(300)
+    assert all(len(bench.attempts[part]) == 1 for part in many)
+    for part in many[1:]:
+        bench.end(part)
+    bench.run(10)
+    assert len(bench.attempts[many[0]]) == 2
+
+
+def test_answers_after_this_router_stood_still_teach_nothing():
+    """Danger: our own standing still taken for servers that are slow, and windows cut for it."""
+    bench = spread(2)
+    _, (part,), _ = bench.query(shards=[0])
+    server, lateness = bench.router.servers[bench.attempts[part][0][1]], bench.router.lateness
+    window = server.window
+    bench.end(part, after=900.0)  # no wake-up came meanwhile
+    assert (server.window, bench.router.lateness) == (window, lateness)
