--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -20,7 +20,6 @@
 ENOUGH = 20  # answers in a server's window before its own percentile is believed
 BLIND_TIMER = 1 / 3  # of the aim, before there is any answer at all
 TOKEN_SHARE = 0.10  # copies per part sent, the refill of the bucket
-BUCKET = 2  # of the largest queries: the copies that the bucket can hold back for
 # Figures of the exceptions.
 FLEET_TIMER = 1.5  # a server's timer is at most so many overall p90s: a slow server's own p90 is slow too
 QUICK_QUANTILE = 0.25  # of all answers: what an answer takes where no queue stands
@@ -158,7 +157,7 @@
                       self.now + event.time_left - 2 * self.cfg.tick, event.repeat)
         self.queries[query.id] = self.numbers[query.number] = query
         self.taken.add(self.now)
-        self.bucket = max(self.bucket, TOKEN_SHARE * BUCKET * event.parts)
+        self.bucket = max(self.bucket, TOKEN_SHARE * event.parts)
         prompt = self.lateness < max(START_SHARE, PILOT_LATE / event.parts)
         prompt = prompt and self.now < self.last_answer + cls.aim
         roomy = event.parts >= PILOT and cls.aim >= PILOT_ROOM * self.all.read(self.now)[1]
