--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -24,7 +24,7 @@
 FLEET_TIMER = 1.5  # a server's timer is at most so many overall p90s: a slow server's own p90 is slow too
 QUICK_QUANTILE = 0.25  # of all answers: what an answer takes where no queue stands
 SKETCH_REFRESH = 250.0  # ms a merged percentile is kept; merging on every send costs CPU for nothing
-WINDOW = (ROTATE, SKETCH_REFRESH, (QUICK_QUANTILE, TIMER_QUANTILE))
+WINDOW = (ROTATE, SKETCH_REFRESH, (QUICK_QUANTILE, TIMER_QUANTILE, 0.5))
 WINDOW_ALL, WINDOW_LEAST = 18.0, 3.0  # parts out at a server at first: of all routers, of each
 WINDOW_CUT = 0.8  # multiplicative decrease, at most once in a target time
 SLOW_SHARE = 0.2  # of the shortest aim: an answer later than this says that the server's queue is too long
@@ -42,7 +42,7 @@
 TRIAL_FIRST, TRIAL_LAST = 1_000.0, 8_000.0  # ms until a silent server is tried again, doubling
 IDLE_RESET = 0.5  # of the quickest answers: a part reset sooner met a dead connection, not a dying server
 IDLE_MARGIN = 0.8  # of the shortest time unused after which a connection was reset
-COLD_PART, COLD_PUSH = 0.6, 3.0  # of what the cold rule allows; times what a cold server can do at least
+COLD_PART = 0.6  # of what the cold rule allows one core: light parts and warm keys may halve the pace
 HEDGE_LEDGER = 0.6  # of the told budget may go to hedges; the rest is kept for retries after a crash
 HOLD_OFF = 0.15  # of the aim: when a client that was turned away should come back
 NEAR_TURNS = 4  # turns of a replica in our own zone for each of one elsewhere, where crossing has a price
@@ -76,6 +76,7 @@
         self.taken, self.extras = SlidingSum(span), SlidingSum(span + settings.tick)
         self.longest: dict[int, float] = {}  # by class: the longest time a first try was given
         self.ask_backoff, self.shortest_aim = ASK_BACKOFF, min(cls.aim for cls in settings.classes)
+        self.usual = float("inf")  # ms: the least median, the pace of a cold server's work
         self.quickest, self.target = float("inf"), self.shortest_aim  # ms: an answer later than that is slow
         self.hear = {io.AttemptEnded: self._ended, io.QueryArrived: self._query_arrived,
                      io.PartArrived: self._part_came, io.QueryGone: self._gone, io.ServerList: self._listed}
@@ -299,10 +300,9 @@
         """Rule 4: one router's share of what a cold server takes in a window, drawn by lot below one part.
 
         Danger: dozens of routers each sending "just one" to a server that has come back. One core at the
-        pace of the quickest answers is assumed; a share not used in its window lapses, so none adds up.
+        pace of the median answer is assumed; a share not used in its window lapses, so none adds up.
         """
-        pace = min(self.quickest, BLIND_TIMER * self.shortest_aim)
-        pushed = min(COLD_PART * self.cfg.cold_multiple, COLD_PUSH)
+        pace, pushed = min(self.usual, BLIND_TIMER * self.shortest_aim), COLD_PART * self.cfg.cold_multiple
         share = pushed * self._warmth(server) * self.cfg.cold_window / pace / self.cfg.routers
         if self.now >= server.lot_until:
             server.lot, server.lot_until = self.rng.random(), self.now + self.cfg.cold_window
@@ -488,6 +488,7 @@
         server.flag_until = float("-inf")
         if self.all.count(self.now) >= ENOUGH:  # the quickest ever: a queue must not raise its bar
             self.quickest = min(self.quickest, self.all.read(self.now)[0])
+            self.usual = min(self.usual, self.all.read(self.now)[2])
             self.target = max(SLOW_SHARE * self.shortest_aim, SLOW_FACTOR * self.quickest)
         if took > self.target:
             self._cut(server)
