--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -410,7 +410,8 @@
         for attempt in self.hungry[:]:
             part = attempt.part
             lost = self.now + self.all.read(self.now)[0] > part.query.aim_at
-            short = self.tokens < max(1.0, missing[part.query])  # danger: copies that make none whole
+            enough = min(missing[part.query], self.bucket)  # danger: copies that make none whole
+            short = self.tokens < max(1.0, enough)
             if short or lost or part.out > self.cfg.second_copies:
                 continue
             server = self._pick(part, [], hedge=True)
