One place decides whether a part may be repeated; a keyed part past its window is settled at once

A fold: rule 2's guard and the end of an attempt asked the same in two ways. Before, a keyed part that could not be sent again sat in the line until the aim.

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -287,15 +287,19 @@
             return False
         if server.status is not Status.READY or len(part.attempts) >= self.cfg.attempts_cap:  # rule 3
             return False
-        if query.cls.effect is not Effect.SAFE:  # rule 2
-            ran = [a for a in part.attempts if a.may_have_run]
-            keyed = query.cls.effect is Effect.KEYED and not hedge
-            if ran and not (keyed and self.now < ran[0].sent + query.cls.dedup_window - 2 * self.cfg.tick):
-                return False
+        if not self._may_repeat(part, hedge):  # rule 2
+            return False
         if part.attempts and not self._ledger_allows(hedge):  # rule 6
             return False
         return self._warmth(server) >= 1.0 or self._cold_room(server)  # rule 4
 
+    def _may_repeat(self, part: Part, hedge: bool = False) -> bool:
+        """Rule 2: unless safe, only if no attempt may have run, or keyed and in the window of the first."""
+        cls, ran = part.query.cls, [a for a in part.attempts if a.may_have_run]
+        keyed = cls.effect is Effect.KEYED and not hedge
+        in_window = keyed and ran and self.now < ran[0].sent + cls.dedup_window - 2 * self.cfg.tick
+        return cls.effect is Effect.SAFE or not ran or bool(in_window)
+
     def _cold_room(self, server: Server) -> bool:
         """Rule 4: one router's share of what a cold server takes in a window, drawn by lot below one part.
 
@@ -392,7 +396,7 @@
         attempt.fired, attempt.server.overdue = True, attempt.server.overdue + 1
         query = attempt.part.query
         query.proven = query.proven or query.careful and query.prompt and not self._suspect(query)
-        if not attempt.part.query.ended and attempt.part.query.cls.effect is Effect.SAFE:
+        if not query.ended and query.cls.effect is Effect.SAFE:
             self.hungry.append(attempt)
 
     def _send_copies(self) -> None:
@@ -446,9 +450,8 @@
                 self._review(query)
             return
         silent = attempt.fired and server.last_answer < attempt.sent
-        if reaped:  # that a connection was dropped says nothing of the server
-            pass
-        elif silent or event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF, Outcome.ERROR):
+        sick = silent or event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF, Outcome.ERROR)
+        if sick and not reaped:  # that an unused connection was dropped says nothing of its server
             met = len(self.servers) * (self.now - self.began) / max(self.parts_sent, 1)
             first = max(TRIAL_FIRST, TRIAL_TURNS * met)
             server.backoff = min(max(2 * server.backoff, first), TRIAL_LAST * first / TRIAL_FIRST)
@@ -461,13 +464,10 @@
                 self.wary_until = self.now + ROTATE
         if part.answered or part.dropped or query.ended or part.out:
             return
-        unsafe = query.cls.effect is Effect.UNSAFE and not event.outcome.never_ran
-        if unsafe or len(part.attempts) >= self.cfg.attempts_cap:
-            part.dropped = True
-            self._review(query)
-        else:
+        part.dropped = len(part.attempts) >= self.cfg.attempts_cap or not self._may_repeat(part)
+        if not part.dropped:
             self.waiting.append(part)
-            self._review(query)
+        self._review(query)
 
     def _suspect(self, query: Query) -> bool:
         """A query none of whose parts was answered, and one broke off a connection, may have done it itself.
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -179,3 +179,15 @@
     window = server.window
     bench.end(part, after=900.0)  # no wake-up came meanwhile
     assert (server.window, bench.router.lateness) == (window, lateness)
+
+
+def test_a_keyed_part_past_its_window_is_settled_at_once():
+    """Danger: a part that can't be sent again sits in the line until the aim, and its query with it."""
+    keyed = io.QueryClass(
+        aim=1000.0, give_up=4000.0, worth=1.0, effect=io.Effect.KEYED, dedup_window=200.0
+    )
+    bench = spread(2, keyed)
+    query, (part,), _ = bench.query(shards=[0])
+    bench.run(300)
+    acted = bench.end(part, outcome=Outcome.ERROR)
+    assert of(io.Fail, acted) == [io.Fail(query)]
