--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -450,14 +450,13 @@
                 self._review(query)
             return
         silent = attempt.fired and server.last_answer < attempt.sent
-        sick = silent or event.outcome in (
-            Outcome.UNCONNECTED, Outcome.BROKEN_OFF, Outcome.ERROR, Outcome.REJECTED)
+        sick = silent or event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF, Outcome.ERROR)
         if sick and not reaped:  # that an unused connection was dropped says nothing of its server
             met = len(self.servers) * (self.now - self.began) / max(self.parts_sent, 1)
             first = max(TRIAL_FIRST, TRIAL_TURNS * met)
             server.backoff = min(max(2 * server.backoff, first), TRIAL_LAST * first / TRIAL_FIRST)
             server.flag_until = self.now + server.backoff
-        elif event.took > self.target:  # slow too: if all is
+        elif event.outcome is Outcome.REJECTED or event.took > self.target:  # slow too: if all is
             self._cut(server)  # given up at its aim, no answer ever tells that the queues are too long
         if event.outcome is Outcome.BROKEN_OFF:
             query.broke.add(server.id)
