--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -191,3 +191,18 @@
     bench.run(300)
     acted = bench.end(part, outcome=Outcome.ERROR)
     assert of(io.Fail, acted) == [io.Fail(query)]
+
+
+def test_after_a_stall_due_final_answers_come_and_nothing_is_sent_for_them():
+    """Danger: a router that finds a second's events at once sends a part of a query whose client has left."""
+    bench = Bench(settings(), servers=(1,))
+    queries = [bench.query(time_left=900.0) for _ in range(30)]
+    waiting = [(query, parts[0]) for query, parts, _ in queries if parts[0] not in bench.attempts]
+    out = [parts[0] for _, parts, _ in queries if parts[0] in bench.attempts]
+    assert waiting and out
+    ends = [io.AttemptEnded(part, 0, 1, Outcome.ANSWERED, 100.0) for part in out]
+    drain = io.ServerList(io.ListKind.CHANGES, (listed(1, status=io.Status.DRAINING),))
+    acted = bench.step(*ends, drain, after=1500.0)
+    assert not of(io.Send, acted)
+    ended = [a.query for a in of(io.Answer, acted) + of(io.Shed, acted) + of(io.Fail, acted)]
+    assert sorted(ended) == sorted(query for query, _, _ in queries)
