A door: queries wait by tenant, client and class, and the others hear when to come back

Need: the largest customer could starve the others, and a refused caller heard only the module's guess.

--- a/tansycrank/config.py
+++ b/tansycrank/config.py
@@ -18,6 +18,9 @@
 from msgspec import Meta
 
 from tansycrank import interface as io
+from tansycrank.door.identity import PLACES, Identity, Rule, read_network
+from tansycrank.door.policy import Limits, Policy
+from tansycrank.door.policy import Settings as DoorSettings
 from tansycrank.pg import types
 
 Whole = Annotated[int, Meta(ge=0)]
@@ -111,6 +114,44 @@
     answer_grace_ms: Ms = 50.0
 
 
+class DoorSection(Record):
+    """The door: bounds of its line (queries, bytes), of tenants known, of places kept and how far ahead.
+
+    `allow` and `deny` are networks that may enter, the longest first; `operators` are networks whose
+    sessions see all tenants and may change limits.
+    """
+
+    enabled: bool = True
+    max_queued: Count = 1000
+    max_queued_bytes: Annotated[int, Meta(ge=65_536)] = 16_777_216
+    max_tenants: Annotated[int, Meta(ge=64)] = 4096
+    max_places: Count = 50_000
+    horizon_ms: Annotated[float, Meta(ge=1000)] = 60_000.0
+    allow: str = ""
+    deny: str = ""
+    operators: str = "127.0.0.0/8, ::1/128"
+    prefix4: Annotated[int, Meta(ge=8, le=32)] = 24
+    prefix6: Annotated[int, Meta(ge=16, le=128)] = 48
+
+
+class TenantSection(Record):
+    """A rule that names a tenant. All keys given must fit; the longest network wins, then the order here.
+
+    `users`, `databases` and `settings` are regular expressions for the whole text; `tenant` is the name, with
+    {user}, {database}, {setting} (the first group of the expression, or all) and {network} filled in.
+    """
+
+    networks: str = ""
+    users: str = ""
+    databases: str = ""
+    settings: str = ""
+    tenant: str = ""
+    weight: Annotated[float, Meta(gt=0, le=1000)] = 1.0
+    min_share: Annotated[float, Meta(ge=0, lt=1)] = 0.0
+    max_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
+    burst_ms: Ms = 0.0
+
+
 class RosterSection(Record):
     """Where the list of nodes comes from: `feed` (host:port) or `file` (for small sites)."""
 
@@ -130,7 +171,8 @@
 
 
 class ClassSection(Record):
-    """A class of queries. `pattern` is a regular expression that statements of the class match."""
+    """A class of queries. `pattern` is a regular expression that statements of the class match; `weight` is
+    its share at the door beside the client's other classes."""
 
     aim_ms: PositiveMs
     give_up_ms: PositiveMs
@@ -138,6 +180,7 @@
     late_worth: Annotated[float, Meta(ge=0)] = 0.0
     dedup_window_ms: Ms = 0.0
     pattern: str = ""
+    weight: Annotated[float, Meta(gt=0, le=1000)] = 1.0
 
 
 class DistributionSection(Record):
@@ -166,10 +209,16 @@
     "store": StoreSection,
     "merge": MergeSection,
     "rules": RulesSection,
+    "door": DoorSection,
     "roster": RosterSection,
     "log": LogSection,
 }
-NAMED = {"class": ClassSection, "distribution": DistributionSection, "table": TableSection}
+NAMED = {
+    "class": ClassSection,
+    "distribution": DistributionSection,
+    "table": TableSection,
+    "tenant": TenantSection,
+}
 NAME = re.compile(r"[a-z_][a-z0-9_-]{0,62}$")
 
 
@@ -214,6 +263,8 @@
     rules: RulesSection
     roster: RosterSection
     log: LogSection
+    door: DoorSection
+    rules_of_tenants: tuple[Rule, ...]
     classes: tuple[QueryClassConfig, ...]
     distributions: dict[str, Distribution]
     tables: dict[str, Table]
@@ -223,6 +274,20 @@
         """The names of the zones; their positions are the module's numbers."""
         return tuple(z.strip() for z in self.router.zones.split(",") if z.strip())
 
+    def identity(self) -> Identity:
+        """Who is asking, by the rules of this file."""
+        door = self.door
+        return Identity(
+            self.rules_of_tenants, split(door.allow), split(door.deny), door.prefix4, door.prefix6
+        )
+
+    def door_policy(self) -> Policy | None:
+        """The door's decisions, None where it is off."""
+        door = self.door
+        weights = tuple(c.section.weight for c in self.classes for _ in range(3))
+        bounds = door.max_queued, door.max_queued_bytes, door.max_tenants, door.max_places, door.horizon_ms
+        return Policy(DoorSettings(weights, *bounds)) if door.enabled else None
+
     def module_settings(self) -> io.Settings:
         """The settings of the decision module: three classes for each of ours (safe, keyed, unsafe)."""
         classes = []
@@ -358,6 +423,8 @@
         name: _distribution(path, name, d, store.shards) for name, d in named["distribution"].items()
     }
     tables = {name: _table(path, name, t, distributions) for name, t in named["table"].items()}
+    rules_of_tenants = tuple(_tenant(path, name, t) for name, t in named["tenant"].items())
+    _check_door(path, single["door"], rules_of_tenants)
     return Config(
         file=path,
         router=router,
@@ -367,6 +434,8 @@
         rules=rules,
         roster=roster,
         log=single["log"],
+        door=single["door"],
+        rules_of_tenants=rules_of_tenants,
         classes=classes,
         distributions=distributions,
         tables=tables,
@@ -388,6 +457,59 @@
     return QueryClassConfig(name, section, pattern)
 
 
+def split(text: str) -> list[str]:
+    """The members of a list with commas."""
+    return [one for one in map(str.strip, text.replace("\n", " ").split(",")) if one]
+
+
+def _networks(path: str, section: str, key: str, text: str) -> tuple[str, ...]:
+    for one in split(text):
+        try:
+            read_network(one)
+        except ValueError as problem:
+            raise ConfigError(path, section, key, one, str(problem)) from None
+    return tuple(split(text))
+
+
+def _check_door(path: str, door: DoorSection, rules: tuple[Rule, ...]) -> None:
+    for key in ("allow", "deny", "operators"):
+        _networks(path, "door", key, getattr(door, key))
+    promised = sum(rule.limits.min_share for rule in rules)
+    if promised > 0.9:
+        last = rules[-1]
+        raise ConfigError(
+            path, f"tenant {last.name}", "min_share", str(last.limits.min_share),
+            f"all least shares together at most 0.9, these are {promised:g}",
+        )  # fmt: skip
+
+
+def _tenant(path: str, name: str, section: TenantSection) -> Rule:
+    where, patterns = f"tenant {name}", {}
+    for key in ("users", "databases", "settings"):
+        text = getattr(section, key)
+        try:
+            patterns[key] = re.compile(text) if text else None
+        except re.error as error:
+            raise ConfigError(path, where, key, text, f"a regular expression ({error})") from None
+    networks = _networks(path, where, "networks", section.networks)
+    if not networks and not any(patterns.values()):
+        raise ConfigError(path, where, "networks", None, "one of networks, users, databases, settings")
+    tenant = section.tenant or name
+    try:
+        tenant.format(**dict.fromkeys(PLACES, "x"))
+    except (KeyError, IndexError, ValueError):
+        allowed = ", ".join("{" + place + "}" for place in PLACES)
+        raise ConfigError(path, where, "tenant", tenant, f"a name, with {allowed} in it") from None
+    if section.min_share > section.max_share:
+        raise ConfigError(
+            path, where, "min_share", str(section.min_share), f"at most max_share ({section.max_share:g})"
+        )
+    limits = Limits(section.weight, section.min_share, section.max_share, section.burst_ms)
+    return Rule(
+        name, tenant, limits, networks, patterns["users"], patterns["databases"], patterns["settings"]
+    )
+
+
 def _distribution(path: str, name: str, section: DistributionSection, shards: int) -> Distribution:
     where = f"distribution {name}"
     oid = types.NAMES.get(section.type)
--- a/tansycrank/daemon.py
+++ b/tansycrank/daemon.py
@@ -135,6 +135,7 @@
         if self.stopped:
             return
         self.stopped = True
+        self.service.gate.close(PgError(SHUTTING_DOWN, "the router is shutting down"))
         for job in list(self.coordinator.jobs.values()):
             self.coordinator.abandon(job, PgError(SHUTTING_DOWN, "the router is shutting down"))
         for session in list(self.front.sessions):
--- /dev/null
+++ b/tansycrank/door/costs.py
@@ -0,0 +1,48 @@
+"""What a query costs: parts times the work of its statement, as measured, in parts of average work.
+
+A guess comes from the statement, else from its class; each answer corrects both. Only ratios to the mean of
+all count, so that a slow hour, which makes everything slow, changes nobody's share.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+LEARN = 0.2  # weight of the newest answer
+KNOWN = 2048  # statements remembered; the one not seen for longest goes first
+LEAST, MOST = 0.05, 50.0  # work of a part beside the mean: bounds against one odd answer
+
+
+class Costs:
+    """Expected work of statements. Times in ms."""
+
+    def __init__(self, classes: int) -> None:
+        self.mean = 0.0  # ms of a part, over all
+        self._classes: list[float] = [0.0] * classes
+        self._statements: OrderedDict[int, float] = OrderedDict()
+
+    def expect(self, query_class: int, statement: int, parts: int) -> float:
+        """The charge of a query before it ran."""
+        took = self._statements.get(statement) or self._classes[query_class]
+        return parts * self._ratio(took or self.mean)
+
+    def _ratio(self, took: float) -> float:
+        return min(max(took / self.mean, LEAST), MOST) if self.mean > 0 else 1.0
+
+    def learn(self, query_class: int, statement: int, parts: int, took: float) -> float:
+        """An answer took so long; what it really cost."""
+        self.mean = _towards(self.mean, took)
+        self._classes[query_class] = _towards(self._classes[query_class], took)
+        self._statements[statement] = _towards(self._statements.get(statement, 0.0), took)
+        self._statements.move_to_end(statement)
+        if len(self._statements) > KNOWN:
+            self._statements.popitem(last=False)
+        return parts * self._ratio(took)
+
+    def took(self, query_class: int, statement: int) -> float:
+        """How long such a query runs, in ms; 0 before one has been seen."""
+        return self._statements.get(statement) or self._classes[query_class]
+
+
+def _towards(old: float, new: float) -> float:
+    return new if old <= 0 else old + LEARN * (new - old)
--- /dev/null
+++ b/tansycrank/door/gate.py
@@ -0,0 +1,215 @@
+"""Carries out what the door decides: holds queries that wait, starts those let in, answers the others.
+
+It decides nothing. Queries of fronts come in through `enter`; the module's own refusals pass back through
+it, so that the time to come back that a client hears is the door's.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from tansycrank.door.identity import Asker
+from tansycrank.door.policy import Admit, Arrived, Changed, Ended, Left, Limits, Policy, Refuse, Tick, Wake
+from tansycrank.pg.errors import FAILED, QUERY_CANCELED, REFUSED, PgError
+
+BEAT = 0.05  # seconds between two looks while anything is open
+WHY = {
+    "line": "its turn would come too late",
+    "late": "its turn did not come in time",
+    "full": "the line is full",
+    "pushed": "the line is full and its tenant holds most of it",
+    "module": "not answerable in time now",
+    "early": "it came back before the time it was told",
+}
+
+
+def refusal(wait: float, reason: str, corrected: bool = False) -> PgError:
+    """The one answer to a query that is turned away: it never ran, and may come back."""
+    later = ", and an earlier time could not be held" if corrected else ""
+    return PgError(
+        REFUSED,
+        f"refused: {WHY[reason]}{later}; trying again is harmless",
+        detail=f"retry_after_ms={math.ceil(max(wait, 0))} reason={reason} corrected={int(corrected)}",
+        hint="come back after the time in the detail field: a place is kept then",
+    )
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """A query at the door or inside. `start(time left in ms, done)` runs it and returns what cancels it."""
+
+    id: int
+    asker: Asker
+    deadline: float  # ms of the clock
+    start: Callable[[float, Callable[[Any], None]], Any]
+    done: Callable[[Any], None]
+    inside: bool = False
+    began: float = 0.0
+    running: Any = None
+    ended: bool = False
+
+
+class Gate:
+    """The door of one router on its reactor. With `policy` None it is off: everyone goes straight in."""
+
+    def __init__(self, reactor, policy: Policy | None, log=None) -> None:
+        self.reactor, self.policy, self.log = reactor, policy, log
+        self.entries: dict[int, Entry] = {}
+        self.told: dict[str, dict[str, int]] = {}  # tenant: reasons, since the last line of the log
+        self._ids = 0
+        self._beat = self._wake = None
+        self._beat_due = self._logged = 0.0
+
+    @property
+    def now(self) -> float:
+        """Milliseconds of the reactor's clock."""
+        return self.reactor.seconds() * 1000
+
+    # --- for the service ------------------------------------------------------------------
+
+    def enter(
+        self,
+        asker: Asker,
+        query_class: int,
+        parts: int,
+        time_left: float,
+        start: Callable[[float, Callable[[Any], None]], Any],
+        done: Callable[[Any], None],
+        statement: int = 0,
+        mark: int = 0,
+        size: int = 0,
+        repeat: bool = False,
+    ) -> Entry:
+        """A query asks to be let in; `done` hears its one answer, perhaps before this returns."""
+        self._ids += 1
+        now = self.now
+        entry = self.entries[self._ids] = Entry(self._ids, asker, now + time_left, start, done)
+        if self.policy is None:
+            self._admit(entry, now)
+            return entry
+        self._play(
+            Arrived(
+                entry.id, asker.tenant, asker.client, query_class, parts, time_left, statement, mark, size,
+                repeat, asker.limits,
+            )
+        )  # fmt: skip
+        self._keep_beat()
+        return entry
+
+    def leave(self, entry: Entry, cancel: Callable[[Any], None]) -> None:
+        """Its client cancels or has gone: out of the line, or `cancel(what start returned)`."""
+        if entry.ended:
+            return
+        if entry.inside:
+            cancel(entry.running)
+            return
+        self._play(Left(entry.id))
+        self._finish(entry, PgError(QUERY_CANCELED, "canceling statement due to user request"))
+
+    def change(self, tenant: str, limits: Limits) -> None:
+        """An operator gives a tenant other limits."""
+        if self.policy is not None:
+            self._play(Changed(tenant, limits))
+        if self.log:
+            self.log.info("limits changed", tenant=tenant, weight=limits.weight, min_share=limits.min_share,
+                          max_share=limits.max_share, burst_ms=limits.burst)  # fmt: skip
+
+    def close(self, problem: PgError) -> None:
+        """The router ends: who waits hears so at once."""
+        for call in (self._beat, self._wake):
+            if call is not None and call.active():
+                call.cancel()
+        self._beat = self._wake = None
+        for entry in list(self.entries.values()):
+            if not entry.inside:
+                self._finish(entry, problem)
+
+    # --- carrying out -----------------------------------------------------------------------
+
+    def _play(self, event: object) -> None:
+        now = self.now
+        for action in self.policy.step(now, [event]):
+            match action:
+                case Admit(number):
+                    if number in self.entries:
+                        self._admit(self.entries[number], now)
+                case Refuse(number, wait, reason, corrected):
+                    self._refuse(number, wait, reason, corrected)
+                case Wake(at):
+                    self._wake_at(at)
+
+    def _admit(self, entry: Entry, now: float) -> None:
+        entry.inside, entry.began = True, now
+        left = max(entry.deadline - now, 1.0)
+        entry.running = entry.start(left, lambda outcome: self._ended(entry, outcome))
+
+    def _refuse(self, number: int, wait: float, reason: str, corrected: bool) -> None:
+        entry = self.entries.get(number)
+        if entry is None:
+            return
+        reasons = self.told.setdefault(entry.asker.tenant, {}) if len(self.told) < 1000 else {}
+        reasons[reason] = reasons.get(reason, 0) + 1
+        self._finish(entry, refusal(wait, reason, corrected))
+
+    def _ended(self, entry: Entry, outcome: Any) -> None:
+        """The answer of a query that was let in."""
+        if entry.ended:
+            return
+        if self.policy is None:
+            self._finish(entry, outcome)
+            return
+        kind, hold_off = "answered", 0.0
+        if isinstance(outcome, PgError):
+            kind = {REFUSED: "refused", FAILED: "failed", QUERY_CANCELED: "cancelled"}.get(
+                outcome.state, "failed"
+            )
+            if kind == "refused":
+                found = outcome.detail.partition("retry_after_ms=")[2].split(" ")[0]
+                hold_off = float(found or 0)
+        self._play(Ended(entry.id, kind, self.now - entry.began, hold_off))
+        self._finish(entry, outcome)  # where it was refused it has been answered by now
+
+    def _finish(self, entry: Entry, outcome: Any) -> None:
+        if not entry.ended:
+            entry.ended = True
+            self.entries.pop(entry.id, None)
+            entry.done(outcome)
+
+    # --- time ---------------------------------------------------------------------------------
+
+    def _wake_at(self, at: float) -> None:
+        if self._wake is not None and self._wake.active():
+            if self._wake.getTime() * 1000 <= at + 1:
+                return
+            self._wake.cancel()
+        self._wake = self.reactor.callLater(max(at - self.now, 0) / 1000 + 0.0005, self._woken)
+
+    def _woken(self) -> None:
+        self._wake = None
+        self._play(Tick())
+
+    def _keep_beat(self) -> None:
+        if self._beat is None:
+            self._beat_due = self.now + BEAT * 1000
+            self._beat = self.reactor.callLater(BEAT, self._on_beat)
+
+    def _on_beat(self) -> None:
+        self._beat = None
+        self._play(Tick(max(self.now - self._beat_due, 0.0)))
+        self._log_told()
+        if self.entries or self.told:
+            self._keep_beat()
+
+    def _log_told(self) -> None:
+        """Who was held back and why: one line a second."""
+        if not self.told or self.now - self._logged < 1000:
+            return
+        self._logged, told = self.now, self.told
+        self.told = {}
+        if self.log:
+            most = sorted(told.items(), key=lambda item: -sum(item[1].values()))[:10]
+            limit = round(self.policy.limit.parts)
+            self.log.info("held back", tenants=len(told), most=dict(most), limit=limit)
--- /dev/null
+++ b/tansycrank/door/limit.py
@@ -0,0 +1,106 @@
+"""How much the router may hold at once, and how fast it drains: found from its own answers.
+
+The limit counts parts. It grows while queries run about as fast as they ever did, and shrinks once they spend
+more time waiting inside than being worked on, or once the module refuses what it was given. "As fast as ever"
+is the least mean of a class over spans of time; the turn's own lateness counts as waiting too. It never falls
+under what Little's law asks for at the rate just delivered, so that a dead shard's refusals don't close the
+door for the others.
+"""
+
+from __future__ import annotations
+
+SPAN = 200.0  # ms of a span at least
+LONG = 1000.0  # and at most, where little is answered
+ENOUGH = 12  # answers that end a span
+FIRST = 32.0  # parts, before anything is known; growth doubles it at first
+FORGET = 1.005  # a least time not met again rises by this much a span that was not full
+LOST = 0.1  # share of refusals by the module past which the limit is too high
+RATE = 0.3  # weight of the newest span in the rate of draining
+
+
+class Limit:
+    """Parts that may be inside; `rate` is the charge answered a ms while the limit was what held back."""
+
+    def __init__(self, classes: int) -> None:
+        self.parts, self.rate = FIRST, 0.0
+        self._least = [0.0] * classes
+        self._swift = True
+        self._stalled = 0.0
+        self._begin(0.0)
+
+    def _begin(self, now: float) -> None:
+        self._from = now
+        self._answers = self._refusals = self._ends = self._full = self._done_parts = 0
+        self._charge = self._waited = 0.0
+        self._times: dict[int, list[float]] = {}
+        self._lags: list[float] = []
+
+    def ended(self, query_class: int, parts: int, charge: float, took: float, kind: str, full: bool) -> None:
+        """A query has ended; `full` tells whether others wait for its room."""
+        self._ends += 1
+        self._full += full
+        if kind == "answered":
+            self._answers += 1
+            self._done_parts += parts
+            self._charge += charge
+            self._times.setdefault(query_class, []).append(took)
+        elif kind == "refused":
+            self._refusals += 1
+
+    def lag(self, late: float) -> None:
+        """A wake-up came so late, in ms. A long stall is no sign of the nodes' pace: that span is dropped."""
+        self._lags.append(late)
+        if late > SPAN:
+            self._stalled = late
+
+    def turn(self, now: float) -> bool:
+        """End the span where it is time; tells whether something was learnt."""
+        age = now - self._from
+        if age < SPAN or (self._ends < ENOUGH and age < LONG):
+            return False
+        if self._ends and not self._stalled:
+            self._learn(age)
+        learnt, self._stalled = self._ends > 0, 0.0
+        self._begin(now)
+        return learnt
+
+    def _learn(self, age: float) -> None:
+        full = self._full * 2 > self._ends
+        rate = self._charge / age
+        if full:
+            self.rate = rate if self.rate <= 0 else self.rate + RATE * (rate - self.rate)
+        else:
+            self.rate = max(self.rate, rate)
+        slow = self._slowness(full)
+        lost = self._refusals > LOST * self._ends
+        if lost or slow > 2.0:
+            self._swift = False
+            least = self._done_parts / age * self._mean_least()
+            # twice the work is as much waiting as work; what is cut is cut by at most half a span
+            goal = self.parts * min(max(2.0 / slow, 0.5), 0.85 if lost else 1.0)
+            self.parts = max(goal, least, 1.0)
+        elif full:
+            self.parts += self.parts if self._swift else self.parts**0.5
+
+    def _mean_least(self) -> float:
+        known = sum(len(t) for t in self._times.values())
+        return sum(self._least[c] * len(t) for c, t in self._times.items()) / known if known else 0.0
+
+    def _slowness(self, full: bool) -> float:
+        """Time of queries beside the least of their class; 1 is as fast as ever."""
+        took = least = 0.0
+        for query_class, times in self._times.items():
+            mean = sum(times) / len(times)
+            known = self._least[query_class]
+            if len(times) >= 3 and (known <= 0 or mean < known):
+                known = self._least[query_class] = mean
+            elif known > 0 and not full:
+                known = self._least[query_class] = min(known * FORGET, mean)
+            if known > 0:
+                took += mean * len(times)
+                least += known * len(times)
+        if least <= 0:
+            return 1.0
+        lags = sorted(self._lags)
+        late = lags[len(lags) // 2] if lags else 0.0
+        return took / least + late * sum(len(t) for t in self._times.values()) / least
--- /dev/null
+++ b/tansycrank/door/views.py
@@ -0,0 +1,102 @@
+"""What operators see of the door, and the checked call that changes a tenant's limits."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import msgspec
+
+from tansycrank.door.gate import Gate
+from tansycrank.door.policy import Limits
+from tansycrank.pg.errors import INVALID_PARAMETER, PgError
+
+SHOWN = 200  # tenants in one view, those with most in line and refused first
+TENANT_COLUMNS = (
+    "tenant", "queued", "inside_parts", "rate", "weight", "min_share", "max_share", "burst_ms",
+    "arrived", "admitted", "answered", "refused", "corrected", "early", "left", "promised", "show",
+    "last_wait_ms",
+)  # fmt: skip
+KEYS = {"weight": "weight", "min_share": "min_share", "max_share": "max_share", "burst_ms": "burst"}
+BOUNDS = {"weight": (1e-3, 1000), "min_share": (0, 0.9), "max_share": (1e-3, 1), "burst_ms": (0, 1e6)}
+
+
+def tenants(gate: Gate) -> list[tuple[str, ...]]:
+    """One row a tenant; rate in parts a second, promised: places kept."""
+    if gate.policy is None:
+        return []
+    found = sorted(
+        gate.policy.tenants.values(), key=lambda t: (-t.line.size, -t.inside, -t.refused, t.key)
+    )
+    rows = []
+    for t in found[:SHOWN]:
+        limits = t.limits
+        rate = "" if t.rate in (0.0, float("inf")) else f"{t.rate * 1000:.1f}"
+        values = (
+            t.key, t.line.size, t.inside, rate, f"{limits.weight:g}", f"{limits.min_share:g}",
+            f"{limits.max_share:g}", f"{limits.burst:g}", t.arrived, t.admitted, t.answered, t.refused,
+            t.corrected, t.early, t.left, len(t.account.places), f"{t.account.show:.2f}", f"{t.wait:.0f}",
+        )  # fmt: skip
+        rows.append(tuple(str(value) for value in values))
+    return rows
+
+
+def door(gate: Gate) -> list[tuple[str, str]]:
+    """The door as a whole: (figure, value)."""
+    policy = gate.policy
+    if policy is None:
+        return [("enabled", "off")]
+    drain = policy.drain
+    figures = {
+        "enabled": "on",
+        "limit_parts": f"{policy.limit.parts:.1f}",
+        "inside_parts": policy.parts,
+        "inside_queries": len(policy.inside),
+        "queued": len(policy.waiting),
+        "queued_bytes": policy.bytes,
+        "drain_parts_a_second": "" if drain == float("inf") else f"{drain * 1000:.1f}",
+        "mean_part_ms": f"{policy.costs.mean:.2f}",
+        "tenants": len(policy.tenants),
+        "places_kept": policy.book.kept,
+        **{f"count_{name}": count for name, count in policy.counts.items()},
+    }
+    return [(name, str(value)) for name, value in figures.items()]
+
+
+def read_change(text: str) -> tuple[str, dict[str, float]]:
+    """`TENANT key=value ...` as (tenant, changes), checked. Raises PgError 22023 with what is allowed."""
+    allowed = f"TENANT and any of {', '.join(f'{key}=NUMBER' for key in KEYS)}"
+    tenant, *pairs = text.split()[:8] or [""]
+    changes: dict[str, float] = {}
+    for pair in pairs:
+        key, _, value = pair.partition("=")
+        try:
+            number = msgspec.json.decode(value.encode(), type=float)
+        except msgspec.DecodeError:
+            number = None
+        if key not in KEYS or number is None or not BOUNDS[key][0] <= number <= BOUNDS[key][1]:
+            limits = ", ".join(f"{name} {low:g} to {high:g}" for name, (low, high) in BOUNDS.items())
+            raise PgError(INVALID_PARAMETER, f"tansycrank.limits: {pair!r}: allowed are {limits}")
+        changes[KEYS[key]] = number
+    if not tenant or "=" in tenant or not changes:
+        raise PgError(INVALID_PARAMETER, f"tansycrank.limits = {text!r}: allowed is {allowed}")
+    return tenant, changes
+
+
+def change(gate: Gate, text: str) -> None:
+    """Carry a change of limits out. Raises PgError where it is not allowed, and changes nothing then."""
+    tenant, changes = read_change(text)
+    if gate.policy is None:
+        raise PgError(INVALID_PARAMETER, "tansycrank.limits: the door is off")
+    known = gate.policy.tenants.get(tenant)
+    old = gate.policy.changed.get(tenant) or (known.limits if known is not None else Limits())
+    new = replace(old, **changes)
+    if new.min_share > new.max_share:
+        raise PgError(INVALID_PARAMETER, f"tansycrank.limits: min_share {new.min_share:g} above max_share")
+    total = new.min_share + sum(
+        t.limits.min_share for t in gate.policy.tenants.values() if t.key != tenant
+    )
+    if total > 0.9:
+        raise PgError(
+            INVALID_PARAMETER, f"tansycrank.limits: least shares would be {total:g} in all, at most 0.9"
+        )
+    gate.change(tenant, new)
--- a/tansycrank/pg/server.py
+++ b/tansycrank/pg/server.py
@@ -14,6 +14,7 @@
 from twisted.internet.protocol import ServerFactory
 from twisted.protocols.basic import LineReceiver
 
+from tansycrank.door.identity import Caller
 from tansycrank.merge.rows import Result
 from tansycrank.pg import messages as pg
 from tansycrank.pg import types
@@ -38,7 +39,7 @@
     PgError,
     ProtocolError,
 )
-from tansycrank.router.service import Request, Running, Service
+from tansycrank.router.service import NOBODY, Request, Running, Service
 from tansycrank.sql.local import SERVER_VERSION
 from tansycrank.sql.plan import Local, Prepared
 from tansycrank.sql.planner import split_comment
@@ -186,6 +187,7 @@
         self.state = "startup"  # startup, ready, closed
         self.settings = dict(DEFAULTS)
         self.pid, self.secret = 0, 0
+        self.caller = NOBODY
         self.statements: dict[str, Statement] = {}
         self.portals: dict[str, Portal] = {}
         self.block = "I"  # I idle, T in a block, E in a failed one
@@ -294,6 +296,12 @@
         refusal = self.factory.admission(self)
         if refusal is not None:
             raise refusal
+        peer = getattr(self.transport.getPeer(), "host", "")
+        user = parameters.get("user", "")
+        self.caller = Caller(peer, user, parameters.get("database", "") or user)
+        barred = self.service.may_enter(self.caller)
+        if barred is not None:
+            raise barred
         self._login.cancel()
         self.settings["session_authorization"] = parameters.get("user", "")
         for name, value in self._options(parameters):
@@ -556,7 +564,9 @@
             case "rows":
                 out += [pg.data_row(row) for row in command.rows]
             case "show":
-                out.append(pg.data_row((self._shown(command.name).encode(),)))
+                view = self.service.view(command.name.lower(), self.caller)
+                rows = view[1] if view is not None else [(self._shown(command.name),)]
+                out += [pg.data_row([value.encode() for value in row]) for row in rows]
             case "set":
                 out += self._assign(command.name, command.value)
             case "reset":
@@ -633,6 +643,9 @@
         low = name.lower()
         if value is None:
             value = DEFAULTS.get(low, "off" if low == "tansycrank.repeat" else "")
+        if low == "tansycrank.limits":
+            self.service.change_limits(self.caller, value)
+            return []
         if low.startswith("tansycrank."):
             self.settings[low] = self.service.check_setting(low, value)
             return []
@@ -661,6 +674,9 @@
     def _local_fields(self, prepared: Prepared, results: tuple[int, ...] = ()) -> tuple[pg.Field, ...] | None:
         local = prepared.local
         if local.command == "show":
+            view = self.service.view(local.name.lower(), self.caller)
+            if view is not None:
+                return tuple(pg.Field(name, types.TEXT) for name in view[0])
             return (pg.Field(local.name, types.TEXT),)
         if local.command == "fetch":
             return self._cursor(local.name).result.fields
@@ -725,7 +741,7 @@
                 self.transport.write(pg.command_complete(tag))
                 self._next_simple(rest, comment)
 
-            request = Request(prepared, comment=comment, settings=dict(self.settings))
+            request = Request(prepared, comment=comment, settings=dict(self.settings), caller=self.caller)
             try:
                 self._answer(request, True, then)
             except PgError as problem:
@@ -894,7 +910,7 @@
                 done(found)
 
         settings = dict(self.settings)
-        self._wait_for(lambda finished: self.service.describe(prepared, settings, finished), told)
+        self._wait_for(lambda done: self.service.describe(prepared, settings, done, self.caller), told)
 
     def _describe_statement(self, name: str) -> None:
         statement = self._statement(name)
@@ -1012,7 +1028,13 @@
         bind, statement = portal.bind, portal.statement
         settings = dict(self.settings)
         return Request(
-            statement.prepared, bind.values, bind.formats, bind.results, statement.comment, settings
+            statement.prepared,
+            bind.values,
+            bind.formats,
+            bind.results,
+            statement.comment,
+            settings,
+            self.caller,
         )
 
     def _emit_portal(self, portal: Portal, limit: int, described: bool) -> None:
--- a/tansycrank/router/service.py
+++ b/tansycrank/router/service.py
@@ -8,7 +8,12 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from tansycrank.config import Config
+import xxhash
+
+from tansycrank.config import Config, split
+from tansycrank.door import views
+from tansycrank.door.gate import Entry, Gate
+from tansycrank.door.identity import Caller, Identity
 from tansycrank.merge import pipeline
 from tansycrank.merge.blocks import frames_of
 from tansycrank.merge.rows import PartRows, Result, merge, part_formats
@@ -21,6 +26,7 @@
 from tansycrank.sql.plan import Prepared
 from tansycrank.sql.planner import Planner, explain_lines
 
+NOBODY = Caller("", "", "")  # who asks where no session does
 AT_ONCE = 192 * 1024  # bytes of parts that are merged in one go; more is merged in slices
 SAFE, KEYED, UNSAFE = 0, 1, 2  # the order of `Config.module_settings`
 
@@ -35,13 +41,14 @@
     results: tuple[int, ...] = ()
     comment: str = ""
     settings: Mapping[str, str] | None = None
+    caller: Caller = NOBODY
 
 
 @dataclass(slots=True)
 class Running:
     """A handle to cancel by."""
 
-    job: Job
+    entry: Entry
 
 
 class Service:
@@ -56,12 +63,46 @@
             lambda: bool(coordinator.jobs),
         )
         coordinator.pools.later = self.worker.wake
+        self.open_door(coordinator.reactor)
         self._class_index = {c.name: i for i, c in enumerate(config.classes)}
 
+    def open_door(self, reactor) -> None:
+        """The door as the settings have it."""
+        config = self.config
+        self.identity = config.identity()
+        self._operators = Identity(allow=split(config.door.operators) or ["255.255.255.255/32"])
+        self.gate = Gate(reactor, config.door_policy(), self.log)
+
     def prepare(self, sql: str, oids: tuple[int, ...] = ()) -> tuple[Prepared, ...]:
         """Understand a text of statements, or raise PgError."""
         return self.planner.statements(sql, oids)
 
+    # --- who may enter, and what operators see ---------------------------------------------
+
+    def may_enter(self, caller: Caller) -> PgError | None:
+        """Why a client may not have a session, if so."""
+        if self.identity.may_enter(caller.address):
+            return None
+        return PgError("28000", f"no entry for {caller.address}: [door] allow and deny", severity="FATAL")
+
+    def _check_operator(self, caller: Caller, what: str) -> None:
+        if not self._operators.may_enter(caller.address):
+            raise PgError("42501", f"{what}: only for sessions from [door] operators")
+
+    def view(self, name: str, caller: Caller) -> tuple[tuple[str, ...], list[tuple[str, ...]]] | None:
+        """(columns, rows) of a view of the door, None where the name is none. Raises PgError 42501."""
+        if name not in ("tansycrank.tenants", "tansycrank.door"):
+            return None
+        self._check_operator(caller, name)
+        if name == "tansycrank.door":
+            return ("figure", "value"), views.door(self.gate)
+        return views.TENANT_COLUMNS, views.tenants(self.gate)
+
+    def change_limits(self, caller: Caller, text: str) -> None:
+        """Other limits for a tenant, while the router runs. Raises PgError 42501, 22023."""
+        self._check_operator(caller, "tansycrank.limits")
+        views.change(self.gate, text)
+
     # --- class and deadline -------------------------------------------------------------
 
     def check_setting(self, name: str, value: str) -> str:
@@ -79,11 +120,13 @@
         elif name == "tansycrank.repeat":
             if value not in ("on", "off", "true", "false"):
                 raise PgError(INVALID_PARAMETER, f"{name} = {value!r}: on or off")
+        elif name == "tansycrank.limits":
+            raise PgError(INVALID_PARAMETER, f"{name} is a call: it can't be kept as a setting")
         elif name in ("tansycrank.request_key", "tansycrank.tenant"):
             if len(value) > 128:
                 raise PgError(INVALID_PARAMETER, f"{name}: at most 128 characters")
         else:
-            known = "class, deadline, repeat, request_key, tenant"
+            known = "class, deadline, limits, repeat, request_key, tenant"
             raise PgError("42704", f"unrecognized configuration parameter {name!r}; tansycrank has {known}")
         return value
 
@@ -160,22 +203,49 @@
             for p in parts.parts
         ]
         began = self.coordinator.now
+        streams = effect == SAFE and prepared.returns_rows and pipeline.streams(plan)
+        repeat = settings.get("tansycrank.repeat") in ("on", "true")
 
-        def finished(answer: list[PartState] | PgError) -> None:
-            outcome = self._result(request, plan, values, answer, job)
-            self._log_query(request, index, effect, job, outcome, began)
-            done(outcome)
+        def start(time_left: float, ended: Callable[[Result | PgError], None]) -> Job:
+            def finished(answer: list[PartState] | PgError) -> None:
+                outcome = self._result(request, plan, values, answer, job)
+                self._log_query(request, index, effect, job, outcome, began)
+                ended(outcome)
 
-        streams = effect == SAFE and prepared.returns_rows and pipeline.streams(plan)
-        job = self.coordinator.submit(
-            3 * index + effect,
-            self._time_left(index, settings),
-            requests,
-            finished,
-            settings.get("tansycrank.repeat") in ("on", "true"),
-            streams,
+            job = self.coordinator.submit(
+                3 * index + effect, time_left, requests, finished, repeat, streams
+            )
+            return job
+
+        time_left = self._time_left(index, settings)
+        return self._enter(request, settings, 3 * index + effect, len(requests), time_left, start, done)
+
+    def _enter(
+        self, request: Request, settings, query_class: int, parts: int, time_left: float, start, done
+    ) -> Running:
+        """Through the door."""
+        asker = self.identity.who(request.caller, settings.get("tansycrank.tenant", ""))
+        sql = request.prepared.sql
+        held = xxhash.xxh3_64(f"{asker.tenant}|{asker.client}|{sql}".encode())
+        size = len(sql)
+        for value in request.values:
+            if value is not None:
+                held.update(value)
+                size += len(value)
+        return Running(
+            self.gate.enter(
+                asker,
+                query_class,
+                parts,
+                time_left,
+                start,
+                done,
+                statement=xxhash.xxh3_64_intdigest(sql.encode()),
+                mark=held.intdigest() | 1,
+                size=size,
+                repeat=settings.get("tansycrank.repeat") in ("on", "true"),
+            )
         )
-        return Running(job)
 
     def _result(self, request: Request, plan, values, answer: list[PartState] | PgError, job: Job):
         if isinstance(answer, PgError):
@@ -222,13 +292,14 @@
 
     def cancel(self, running: Running, left: bool = False) -> None:
         """The client cancels, or has left."""
-        self.coordinator.abandon(running.job)
+        self.gate.leave(running.entry, self.coordinator.abandon)
 
     def describe(
         self,
         prepared: Prepared,
         settings: Mapping[str, str],
         done: Callable[[tuple[tuple[int, ...], tuple[Field, ...] | None] | PgError], None],
+        caller: Caller = NOBODY,
     ) -> Running | None:
         """(types of parameters, columns or None) of a statement, asked of a node once and kept."""
         target = prepared.explain or prepared
@@ -247,15 +318,23 @@
                 done(answer)
                 return
             told, fields = answer[0].oids, answer[0].answer.fields
-            job.memory.close()
             if len(told) >= len(target.oids):
                 target.oids = tuple(mine or theirs for mine, theirs in zip(target.oids, told, strict=False))
             if target.returns_rows:
                 target.fields = fields or ()
             done((target.oids, prepared.fields if prepared.explain else target.fields))
 
-        job = self.coordinator.submit(3 * index + SAFE, self._time_left(index, settings), [request], finished)
-        return Running(job)
+        def start(time_left: float, ended: Callable) -> Job:
+            def answered(answer: list[PartState] | PgError) -> None:
+                ended(answer)
+                job.memory.close()
+
+            job = self.coordinator.submit(3 * index + SAFE, time_left, [request], answered)
+            return job
+
+        asked = Request(prepared, caller=caller)
+        time_left = self._time_left(index, settings)
+        return self._enter(asked, settings, 3 * index + SAFE, 1, time_left, start, finished)
 
     def _log_query(self, request: Request, index: int, effect: int, job: Job, outcome, began: float) -> None:
         if self.log is None or not self.config.log.queries:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -18,7 +18,8 @@
         self.config, self.planner = found, Planner(found)
         self._class_index = {c.name: i for i, c in enumerate(found.classes)}
         self.held, self.asked, self.cancelled, self.answers, self.released = [], [], [], [], 0
-        self.at_once, self.rows = True, 3
+        self.at_once, self.rows, self.log = True, 3, None
+        self.open_door(Clock())
 
     def run(self, request, done):
         if request.prepared.local is None:
@@ -38,7 +39,7 @@
         self.held.append((done, result))
         return Running(len(self.held) - 1)
 
-    def describe(self, prepared, settings, done):
+    def describe(self, prepared, settings, done, caller=None):
         done((prepared.oids, (pg.Field("id", 20),) if prepared.returns_rows else None))
 
     def cancel(self, running, left=False):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -58,7 +58,8 @@
 
     import msgspec
 
-    page = (Path(__file__).parent.parent / "docs/operate/router.md").read_text(encoding="utf-8")
+    folder = Path(__file__).parent.parent / "docs/operate"
+    page = "".join((folder / name).read_text(encoding="utf-8") for name in ("router.md", "door.md"))
     for record in (*config.SINGLE.values(), *config.NAMED.values()):
         for field in msgspec.structs.fields(record):
             assert field.name in page, field.name
