The door's limit learns from unbiased spans; the line ends with the class's aim

Need: in a simulated fleet of 40 routers the limit fell to one part: the first answers of a span are the short ones, and a cut that does not help was repeated. Change: spans as long as queries run, first span dropped, a cut judged by what it took away; queries wait no longer than their answer is worth something.

--- a/tansycrank/config.py
+++ b/tansycrank/config.py
@@ -286,7 +286,12 @@
         door = self.door
         weights = tuple(c.section.weight for c in self.classes for _ in range(3))
         bounds = door.max_queued, door.max_queued_bytes, door.max_tenants, door.max_places, door.horizon_ms
-        return Policy(DoorSettings(weights, *bounds)) if door.enabled else None
+        useful = tuple(
+            c.section.give_up_ms if c.section.late_worth > 0 else c.section.aim_ms
+            for c in self.classes
+            for _ in range(3)
+        )
+        return Policy(DoorSettings(weights, useful, *bounds)) if door.enabled else None
 
     def module_settings(self) -> io.Settings:
         """The settings of the decision module: three classes for each of ours (safe, keyed, unsafe)."""
--- a/tansycrank/door/costs.py
+++ b/tansycrank/door/costs.py
@@ -10,6 +10,7 @@
 
 LEARN = 0.2  # weight of the newest answer
 KNOWN = 2048  # statements remembered; the one not seen for longest goes first
+SURE = 2.0  # mean distances past the mean by which nine in ten have run
 LEAST, MOST = 0.05, 50.0  # work of a part beside the mean: bounds against one odd answer
 
 
@@ -19,6 +20,7 @@
     def __init__(self, classes: int) -> None:
         self.mean = 0.0  # ms of a part, over all
         self._classes: list[float] = [0.0] * classes
+        self._spread: list[float] = [0.0] * classes  # mean distance from the mean, ms
         self._statements: OrderedDict[int, float] = OrderedDict()
 
     def expect(self, query_class: int, statement: int, parts: int) -> float:
@@ -32,6 +34,8 @@
     def learn(self, query_class: int, statement: int, parts: int, took: float) -> float:
         """An answer took so long; what it really cost."""
         self.mean = _towards(self.mean, took)
+        off = abs(took - (self._classes[query_class] or took))
+        self._spread[query_class] += LEARN * (off - self._spread[query_class])
         self._classes[query_class] = _towards(self._classes[query_class], took)
         self._statements[statement] = _towards(self._statements.get(statement, 0.0), took)
         self._statements.move_to_end(statement)
@@ -39,9 +43,9 @@
             self._statements.popitem(last=False)
         return parts * self._ratio(took)
 
-    def took(self, query_class: int, statement: int) -> float:
-        """How long such a query runs, in ms; 0 before one has been seen."""
-        return self._statements.get(statement) or self._classes[query_class]
+    def needs(self, query_class: int, statement: int) -> float:
+        """Ms that such a query needs with some certainty; 0 before one has been seen."""
+        return (self._statements.get(statement) or self._classes[query_class]) + SURE * self._spread[query_class]
 
 
 def _towards(old: float, new: float) -> float:
--- a/tansycrank/door/limit.py
+++ b/tansycrank/door/limit.py
@@ -9,12 +9,18 @@
 
 from __future__ import annotations
 
+import math
+
 SPAN = 200.0  # ms of a span at least
-LONG = 1000.0  # and at most, where little is answered
+RUNS = 4.0  # and so many times what a query runs: a shorter one sees only the short
+LONG = 1000.0  # ms of a span at most
 ENOUGH = 12  # answers that end a span
-FIRST = 32.0  # parts, before anything is known; growth doubles it at first
+FIRST = 8.0  # parts, before anything is known; few, to learn how fast queries run; growth doubles it first
 FORGET = 1.005  # a least time not met again rises by this much a span that was not full
+HELPED = 0.33  # of the slowness that a cut was to take away; with less gone it has not helped
+RAISE = 1.15  # the least times are thought longer by so much where a cut has not helped
 LOST = 0.1  # share of refusals by the module past which the limit is too high
+FEW = 40  # answers of a class in a span that count as much as all before
 RATE = 0.3  # weight of the newest span in the rate of draining
 
 
@@ -24,7 +30,9 @@
     def __init__(self, classes: int) -> None:
         self.parts, self.rate = FIRST, 0.0
         self._least = [0.0] * classes
-        self._swift = True
+        self._mean = [0.0] * classes  # smoothed: the least of many means of few would be far too short
+        self._swift, self._young = True, True
+        self._cut_at = 0.0  # slowness at the last cut, 0 once it has been judged
         self._stalled = 0.0
         self._begin(0.0)
 
@@ -56,11 +64,12 @@
     def turn(self, now: float) -> bool:
         """End the span where it is time; tells whether something was learnt."""
         age = now - self._from
-        if age < SPAN or (self._ends < ENOUGH and age < LONG):
+        if age < LONG and (age < SPAN or age < RUNS * max(self._mean) or self._ends < ENOUGH):
             return False
-        if self._ends and not self._stalled:
+        learnt = self._ends > 0
+        if learnt and not self._stalled:
             self._learn(age)
-        learnt, self._stalled = self._ends > 0, 0.0
+        self._stalled = 0.0
         self._begin(now)
         return learnt
 
@@ -71,13 +80,24 @@
             self.rate = rate if self.rate <= 0 else self.rate + RATE * (rate - self.rate)
         else:
             self.rate = max(self.rate, rate)
+        if self._young:  # what has ended by now is what was short
+            self._young = False
+            return
         slow = self._slowness(full)
+        if self._cut_at and full:
+            if slow > self._cut_at - HELPED * (self._cut_at - 2.0):  # less inside made nothing faster
+                self._least = [known * RAISE for known in self._least]
+                slow /= RAISE
+            self._cut_at = 0.0
         lost = self._refusals > LOST * self._ends
-        if lost or slow > 2.0:
-            self._swift = False
+        if lost or (full and slow > 2.0):
+            if self._swift:  # what ends while the number inside doubles a span is the shorter, by this much
+                self._swift = False
+                self._least = [known * (1 + math.log(2) / RUNS) for known in self._least]
+            self._cut_at = slow
             least = self._done_parts / age * self._mean_least()
             # twice the work is as much waiting as work; what is cut is cut by at most half a span
-            goal = self.parts * min(max(2.0 / slow, 0.5), 0.85 if lost else 1.0)
+            goal = self.parts * min(max(2.0 / slow, 0.5) if full else 1.0, 0.85 if lost else 1.0)
             self.parts = max(goal, least, 1.0)
         elif full:
             self.parts += self.parts if self._swift else self.parts**0.5
@@ -90,15 +110,14 @@
         """Time of queries beside the least of their class; 1 is as fast as ever."""
         took = least = 0.0
         for query_class, times in self._times.items():
-            mean = sum(times) / len(times)
-            known = self._least[query_class]
-            if len(times) >= 3 and (known <= 0 or mean < known):
-                known = self._least[query_class] = mean
-            elif known > 0 and not full:
-                known = self._least[query_class] = min(known * FORGET, mean)
-            if known > 0:
-                took += mean * len(times)
-                least += known * len(times)
+            mean, known = self._mean[query_class], self._least[query_class]
+            now = sum(times) / len(times)
+            mean += (now - mean) * len(times) / (len(times) + FEW) if mean > 0 else now
+            self._mean[query_class] = mean
+            known = mean if known <= 0 else min(mean, known if full else known * FORGET)
+            self._least[query_class] = known
+            took += mean * len(times)
+            least += known * len(times)
         if least <= 0:
             return 1.0
         lags = sorted(self._lags)
--- a/tansycrank/door/policy.py
+++ b/tansycrank/door/policy.py
@@ -45,6 +45,7 @@
     """Bounds of the door: queries and bytes in line, tenants known, places kept, how far ahead (ms)."""
 
     classes: tuple[float, ...] = (1.0,)  # their weights within a client
+    useful: tuple[float, ...] = ()  # ms after which an answer of the class is worth nothing; () for never
     queries: int = 1000
     bytes: int = 16 * 1024 * 1024
     tenants: int = 4096
@@ -336,10 +337,12 @@
     def _arrived(self, now: float, event: Arrived) -> None:
         tenant = self._tenant(now, event.tenant, event.limits)
         charge = self.costs.expect(event.query_class, event.statement, event.parts)
+        useful = self.settings.useful
+        left = min(event.time_left, useful[event.query_class]) if useful else event.time_left
+        leave_by = now + left - self.costs.needs(event.query_class, event.statement)
         ticket = Ticket(
             event.id, tenant.key, event.client, event.query_class, event.statement, event.parts, charge,
-            event.size, now, now + event.time_left - self.costs.took(event.query_class, event.statement),
-            event.mark, False, event.repeat,
+            event.size, now, leave_by, event.mark, False, event.repeat,
         )  # fmt: skip
         self.counts["arrived"] += 1
         place, due = self.book.find(tenant.account, event.mark, now)
--- a/tansycrank/lab/doorlab.py
+++ b/tansycrank/lab/doorlab.py
@@ -78,7 +78,7 @@
     work_ms: float = 40.0
     seed: int = 1
     door: bool = True
-    bounds: Settings = Settings(classes=(1.0,))
+    bounds: Settings = Settings(classes=(1.0,), useful=(AIM,))
     faults: tuple[tuple[float, str, float], ...] = ()
 
     @property
