--- a/tansycrank/config.py
+++ b/tansycrank/config.py
@@ -505,6 +505,10 @@
     except (KeyError, IndexError, ValueError):
         allowed = ", ".join("{" + place + "}" for place in PLACES)
         raise ConfigError(path, where, "tenant", tenant, f"a name, with {allowed} in it") from None
+    if section.min_share > 0 and "{" in tenant:
+        raise ConfigError(
+            path, where, "min_share", str(section.min_share), "only for one tenant by name, without {places}"
+        )
     if section.min_share > section.max_share:
         raise ConfigError(
             path, where, "min_share", str(section.min_share), f"at most max_share ({section.max_share:g})"
--- a/tansycrank/door/costs.py
+++ b/tansycrank/door/costs.py
@@ -45,7 +45,8 @@
 
     def needs(self, query_class: int, statement: int) -> float:
         """Ms that such a query needs with some certainty; 0 before one has been seen."""
-        return (self._statements.get(statement) or self._classes[query_class]) + SURE * self._spread[query_class]
+        took = self._statements.get(statement) or self._classes[query_class]
+        return took + SURE * self._spread[query_class]
 
 
 def _towards(old: float, new: float) -> float:
--- a/tansycrank/door/fair.py
+++ b/tansycrank/door/fair.py
@@ -3,7 +3,9 @@
 Each level keeps a virtual time, the start tag of what it served last. A child that becomes busy starts at
 that time (or earlier, by its burst), never at the end of a line; serving it moves its tag by cost / weight.
 So over any span two busy children get service by weight, within one query's cost each, and a child that was
-idle is owed nothing but its burst. Source: P. Goyal, H. Vin, H. Cheng, "Start-time Fair Queueing", 1996.
+idle is owed nothing but its burst. The time also moves by what is served, as in WF2Q+, so that no stream of
+newcomers can hold back who waits. Sources: P. Goyal, H. Vin, H. Cheng, "Start-time Fair Queueing", 1996;
+J. Bennett, H. Zhang, "Hierarchical Packet Fair Queueing Algorithms", 1996.
 """
 
 from __future__ import annotations
@@ -12,6 +14,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+REMEMBER = 256  # services over which children that became busy are remembered
 SPARE = 64  # empty children a level may hold beside the busy ones before it is tidied
 
 
@@ -68,8 +71,9 @@
 
     def __init__(self, weight: float = 1.0) -> None:
         self.weight, self.start, self.finish, self.burst, self.debt = weight, 0.0, 0.0, 0.0, 0.0
-        self.queued = False
+        self.queued = False  # in its parent's heap
         self.now = 0.0  # virtual time
+        self.entered = 1.0  # weight of children that became busy of late
         self.children: dict[object, Level | Lane] = {}
         self._heap: list[tuple[float, int, object, Level | Lane]] = []
         self._count = 0
@@ -83,6 +87,7 @@
         self.children[key] = child
         if not child.queued:
             child.start = self._settled(child)
+            self.entered += child.weight
             self._push(key, child)
 
     def _settled(self, child: Level | Lane) -> float:
@@ -120,7 +125,11 @@
     def serve(self, cost: float) -> None:
         """The first child has been served: its tag moves, and so does the time."""
         start, _, key, child = heapq.heappop(self._heap)
-        self.now = max(self.now, start)
+        # danger: by start tags alone, a stream of children that are always new would hold the time back, and
+        # who waits with a later tag would wait for ever; so it moves by what is served, too, but no faster
+        # than if all that came of late were still here
+        self.entered = max(self.entered * (1.0 - 1.0 / REMEMBER), child.weight)
+        self.now = max(self.now + cost / (self.entered + child.weight), start)
         child.finish = max(start + cost / child.weight + child.debt, start)
         child.debt = 0.0
         child.queued = False
--- a/tansycrank/door/limit.py
+++ b/tansycrank/door/limit.py
@@ -17,8 +17,9 @@
 ENOUGH = 12  # answers that end a span
 FIRST = 8.0  # parts, before anything is known; few, to learn how fast queries run; growth doubles it first
 FORGET = 1.005  # a least time not met again rises by this much a span that was not full
-HELPED = 0.33  # of the slowness that a cut was to take away; with less gone it has not helped
-RAISE = 1.15  # the least times are thought longer by so much where a cut has not helped
+WORTH = 0.8  # of the limit: a cut to less than this is judged by what it did to the rate
+COSTS = 0.5  # of a cut that the rate may fall by; past it the cut is taken back
+RAISE = 1.15  # the least times are thought longer by so much where a cut is taken back
 LOST = 0.1  # share of refusals by the module past which the limit is too high
 FEW = 40  # answers of a class in a span that count as much as all before
 RATE = 0.3  # weight of the newest span in the rate of draining
@@ -29,10 +30,11 @@
 
     def __init__(self, classes: int) -> None:
         self.parts, self.rate = FIRST, 0.0
+        self.wait = 0.0  # ms of a query's time inside that are waiting
         self._least = [0.0] * classes
         self._mean = [0.0] * classes  # smoothed: the least of many means of few would be far too short
         self._swift, self._young = True, True
-        self._cut_at = 0.0  # slowness at the last cut, 0 once it has been judged
+        self._cut: tuple[float, float] | None = None  # limit and rate before a cut not judged yet
         self._stalled = 0.0
         self._begin(0.0)
 
@@ -84,21 +86,25 @@
             self._young = False
             return
         slow = self._slowness(full)
-        if self._cut_at and full:
-            if slow > self._cut_at - HELPED * (self._cut_at - 2.0):  # less inside made nothing faster
+        if self._cut is not None and full:
+            before, pace = self._cut
+            self._cut = None
+            if rate < pace * (1.0 - COSTS * (1.0 - self.parts / before)):  # what was cut was no waiting
+                self.parts = before
                 self._least = [known * RAISE for known in self._least]
-                slow /= RAISE
-            self._cut_at = 0.0
+                return
         lost = self._refusals > LOST * self._ends
         if lost or (full and slow > 2.0):
             if self._swift:  # what ends while the number inside doubles a span is the shorter, by this much
                 self._swift = False
                 self._least = [known * (1 + math.log(2) / RUNS) for known in self._least]
-            self._cut_at = slow
+            pace, before = rate, self.parts
             least = self._done_parts / age * self._mean_least()
             # twice the work is as much waiting as work; what is cut is cut by at most half a span
             goal = self.parts * min(max(2.0 / slow, 0.5) if full else 1.0, 0.85 if lost else 1.0)
             self.parts = max(goal, least, 1.0)
+            if self.parts < WORTH * before:
+                self._cut = before, pace
         elif full:
             self.parts += self.parts if self._swift else self.parts**0.5
 
@@ -120,6 +126,7 @@
             least += known * len(times)
         if least <= 0:
             return 1.0
+        self.wait = (took - least) / sum(len(t) for t in self._times.values())
         lags = sorted(self._lags)
         late = lags[len(lags) // 2] if lags else 0.0
         return took / least + late * sum(len(t) for t in self._times.values()) / least
--- a/tansycrank/door/policy.py
+++ b/tansycrank/door/policy.py
@@ -20,9 +20,11 @@
 
 from tansycrank.door.costs import Costs
 from tansycrank.door.fair import Clients, Level, Ticket
-from tansycrank.door.limit import Limit
+from tansycrank.door.limit import SPAN, Limit
 from tansycrank.door.promises import Account, Book
 
+LEAST_WORK = 0.1  # of the time inside that counts as work at least
+LEFT = 0.02  # of its pace that a tenant's newcomers have at least beside those who come back
 MEMORY = 2000.0  # ms over which a tenant's demand is remembered
 TRIES = 8  # tenants looked at for one that can be forgotten
 SHARED = 64  # lines that tenants share who can't be known exactly
@@ -157,11 +159,28 @@
         return min(row[cell] for row, cell in self._cells(key))
 
 
+class Recent:
+    """Charge of late: a sum that fades over `memory` ms."""
+
+    __slots__ = ("memory", "_sum", "_at")
+
+    def __init__(self, memory: float) -> None:
+        self.memory, self._sum, self._at = memory, 0.0, 0.0
+
+    def add(self, now: float, charge: float) -> None:
+        """So much more."""
+        self._sum, self._at = self.rate(now) * self.memory + charge, now
+
+    def rate(self, now: float) -> float:
+        """Charge a ms."""
+        return self._sum * math.exp((self._at - now) / self.memory) / self.memory
+
+
 class Tenant:
     """A tenant known exactly."""
 
     __slots__ = (
-        "key", "limits", "line", "account", "inside", "rate", "parked", "seen", "_demand",
+        "key", "limits", "line", "account", "inside", "rate", "parked", "seen", "asked", "returns",
         "arrived", "admitted", "answered", "refused", "corrected", "early", "left", "wait", "charged",
     )  # fmt: skip
 
@@ -171,7 +190,8 @@
         self.inside = 0  # parts
         self.rate = 0.0  # charge a ms it can count on
         self.parked = False  # at its greatest share
-        self.seen = self._demand = 0.0
+        self.seen = 0.0
+        self.asked, self.returns = Recent(MEMORY), Recent(MEMORY / 2)
         self.arrived = self.admitted = self.answered = self.refused = 0
         self.corrected = self.early = self.left = 0
         self.wait = 0.0  # the last promise, ms
@@ -179,17 +199,13 @@
 
     def asks(self, now: float, charge: float) -> None:
         """It has sent something new."""
-        self._demand = self.demand(now) * MEMORY + charge
+        self.asked.add(now, charge)
         self.seen = now
 
-    def demand(self, now: float) -> float:
-        """Charge a ms it has asked for of late."""
-        return self._demand * math.exp((self.seen - now) / MEMORY) / MEMORY
-
     @property
     def busy(self) -> bool:
-        """Whether something of it waits, runs or is promised."""
-        return bool(self.line) or self.inside > 0 or bool(self.account.places)
+        """Whether something of it waits or runs."""
+        return bool(self.line) or self.inside > 0
 
 
 class Policy:
@@ -212,6 +228,8 @@
         )  # fmt: skip
         self._expiry: list[tuple[float, int]] = []
         self._out: list[Admit | Refuse | Wake] = []
+        self._stall = self._stalled_at = 0.0
+        self._shared = 0  # lines of tenants that can't be known exactly
         self._level = math.inf  # charge a ms and weight of those who want more
         self._acts = {
             Arrived: self._arrived,
@@ -239,12 +257,14 @@
     def _tenant(self, now: float, key: str, limits: Limits) -> Tenant:
         tenant = self.tenants.get(key)
         if tenant is None:
-            if len(self.tenants) >= self.settings.tenants and not self._forget_one():
+            crowded = len(self.tenants) - self._shared >= self.settings.tenants
+            if crowded and not self._forget_one() and not limits.min_share:
                 self.counts["shared"] += 1
                 key = f"~{xxhash.xxh3_64_intdigest(key.encode()) % SHARED}"
                 limits = Limits()
                 if key in self.tenants:
                     return self.tenants[key]
+                self._shared += 1
             limits = self.changed.get(key, limits)
             tenant = self.tenants[key] = Tenant(key, limits, self.settings.classes)
             tenant.line.finish = self.sketch.tag(key)
@@ -253,16 +273,25 @@
         return tenant
 
     def _forget_one(self) -> bool:
-        """Make room for another tenant: of those not seen for longest, one that has nothing open."""
+        """Make room for another tenant: of those not seen for longest, the one served least.
+
+        Danger: by age alone, names made up in passing would drive out who asks steadily.
+        """
+        victim: Tenant | None = None
         for _ in range(min(TRIES, len(self.tenants))):
             key, tenant = next(iter(self.tenants.items()))
-            if not tenant.busy:
-                del self.tenants[key]
-                self.sketch.note(key, max(tenant.line.finish, tenant.line.start))
-                self.counts["forgotten"] += 1
-                return True
             self.tenants.move_to_end(key)
-        return False
+            kept = tenant.busy or tenant.limits.min_share > 0 or key[0] == "~"
+            if not kept and (victim is None or tenant.charged < victim.charged):
+                victim = tenant
+        if victim is None:
+            return False
+        for mark in list(victim.account.places):
+            self.book.drop(victim.account, mark)
+        del self.tenants[victim.key]
+        self.sketch.note(victim.key, max(victim.line.finish, victim.line.start))
+        self.counts["forgotten"] += 1
+        return True
 
     def _change(self, now: float, event: Changed) -> None:
         if event.tenant not in self.changed and len(self.changed) >= CHANGES:
@@ -302,7 +331,7 @@
             hungry = bool(tenant.line) or tenant.account.owed > 0
             if not hungry and now - tenant.seen > 5 * MEMORY:
                 continue
-            demand = math.inf if hungry else tenant.demand(now)
+            demand = math.inf if hungry else tenant.asked.rate(now)
             if tenant.limits.min_share > 0 or tenant.limits.max_share < 1:
                 special.append((demand, tenant))
             else:
@@ -339,7 +368,7 @@
         charge = self.costs.expect(event.query_class, event.statement, event.parts)
         useful = self.settings.useful
         left = min(event.time_left, useful[event.query_class]) if useful else event.time_left
-        leave_by = now + left - self.costs.needs(event.query_class, event.statement)
+        leave_by = now + left - self.costs.needs(event.query_class, event.statement) - self.limit.wait
         ticket = Ticket(
             event.id, tenant.key, event.client, event.query_class, event.statement, event.parts, charge,
             event.size, now, leave_by, event.mark, False, event.repeat,
@@ -350,7 +379,9 @@
             tenant.arrived += 1
             tenant.asks(now, charge)
         ticket.returning = due
-        self.counts["returned"] += due
+        if due:
+            self.counts["returned"] += 1
+            tenant.returns.add(now, charge)
         if self._room(tenant):
             if place is not None and not due:
                 self.book.drop(tenant.account, event.mark)
@@ -360,7 +391,7 @@
             tenant.early += 1
             self.counts["early"] += 1
             self._out.append(Refuse(ticket.id, place.due - now, "early"))
-        elif self._due(now, tenant, ticket) > ticket.leave_by:
+        elif self._turn(now, tenant, ticket) > ticket.leave_by:
             self._refuse(now, tenant, ticket, "line")
         elif self._fits(now, tenant, ticket):
             self._enter(tenant, ticket)
@@ -375,20 +406,33 @@
         most = tenant.limits.max_share * self.limit.parts
         return tenant.limits.max_share >= 1 or tenant.inside == 0 or tenant.inside + parts <= most
 
-    def _due(self, now: float, tenant: Tenant, ticket: Ticket) -> float:
-        """When its turn would come."""
+    def _turn(self, now: float, tenant: Tenant, ticket: Ticket) -> float:
+        """When its turn would come if it went into the line now.
+
+        Newcomers get what those who do come back leave over. Danger: counting all who might come back would
+        shut out a tenant whose clients never do.
+        """
         rate = max(tenant.rate, 1e-9)
         if rate == math.inf:
             return now
         if ticket.returning:
             return now + (tenant.line.returning_charge + ticket.charge) / rate
-        promised = tenant.account.ahead(now, rate)
-        due = now + (tenant.line.ahead(ticket.client) + promised + ticket.charge) / rate
-        if not tenant.line and not promised:  # a tenant new in line waits for one turn of all at most
+        left = max(rate - tenant.returns.rate(now), LEFT * rate)
+        due = now + (tenant.line.ahead(ticket.client) + ticket.charge) / left
+        if not tenant.line and not tenant.account.places:  # new in line: one turn of all at most
             mean = self.charge / max(self.root.size, 1)
             due = min(due, now + (len(self.root.children) * mean + ticket.charge) / self.drain)
         return due
 
+    def _due(self, now: float, tenant: Tenant, ticket: Ticket) -> float:
+        """When it should come back: behind the line and all who were promised a place before."""
+        turn = self._turn(now, tenant, ticket)
+        if ticket.returning or tenant.rate == math.inf:
+            return turn
+        rate = max(tenant.rate, 1e-9)
+        ahead = tenant.line.charge + tenant.account.ahead(now, rate)
+        return max(now + (ahead + ticket.charge) / rate, min(turn, now + self.settings.horizon))
+
     def _fits(self, now: float, tenant: Tenant, ticket: Ticket) -> bool:
         """Keep the bounds of the line: past them, who has more than its part of it gives way."""
         bounds = self.settings
@@ -469,13 +513,16 @@
         tenant = self.tenants[ticket.tenant]
         self.parts -= ticket.parts
         tenant.inside -= ticket.parts
+        stalled = self._stall if ticket.began < self._stalled_at else 0.0
+        took = max(event.took - stalled, 0.0)
         if event.kind == "answered":
             tenant.answered += 1
-            real = self.costs.learn(ticket.query_class, ticket.statement, ticket.parts, event.took)
+            work = max(took - self.limit.wait, LEAST_WORK * took)  # waiting inside is nobody's work
+            real = self.costs.learn(ticket.query_class, ticket.statement, ticket.parts, work)
             tenant.charged += real - ticket.charge
             tenant.line.debt += (real - ticket.charge) / tenant.line.weight  # moves its next turn
             ticket.charge = real
-        self.limit.ended(ticket.query_class, ticket.parts, ticket.charge, event.took, event.kind, full)
+        self.limit.ended(ticket.query_class, ticket.parts, ticket.charge, took, event.kind, full)
         self._unpark(tenant)
         if event.kind == "refused":
             self._refuse(now, tenant, ticket, "module", event.hold_off)
@@ -488,6 +535,8 @@
 
     def _tick(self, now: float, event: Tick) -> None:
         self.limit.lag(event.late)
+        if event.late > SPAN:  # the router itself stood still: its own time is no work of nodes
+            self._stall, self._stalled_at = event.late, now
 
     # --- refusals -----------------------------------------------------------------------
 
