Look-ups are let past large queries at the door; paces are kept by statement

Need: with one class for all, look-ups beside thirty large merges stood in their line and none was answered in three seconds. Change: what is eight times smaller than the mean of what is here may pass, within a quarter of the limit; the limit compares a statement with itself.

--- a/tansycrank/door/fair.py
+++ b/tansycrank/door/fair.py
@@ -35,6 +35,7 @@
     mark: int = 0  # what tells this query from others of its client
     returning: bool = False  # it was told to come back, and did
     repeat: bool = False
+    light: bool = False  # it was let past the line
     began: float = 0.0
 
 
--- a/tansycrank/door/limit.py
+++ b/tansycrank/door/limit.py
@@ -2,14 +2,15 @@
 
 The limit counts parts. It grows while queries run about as fast as they ever did, and shrinks once they spend
 more time waiting inside than being worked on, or once the module refuses what it was given. "As fast as ever"
-is the least mean of a class over spans of time; the turn's own lateness counts as waiting too. It never falls
-under what Little's law asks for at the rate just delivered, so that a dead shard's refusals don't close the
-door for the others.
+is the least mean of a statement over spans of time; the turn's own lateness counts as waiting too. It never
+falls under what Little's law asks for at the rate just delivered, so that a dead shard's refusals don't close
+the door for the others; and a cut that costs throughput is taken back.
 """
 
 from __future__ import annotations
 
 import math
+from collections import OrderedDict
 
 SPAN = 200.0  # ms of a span at least
 RUNS = 4.0  # and so many times what a query runs: a shorter one sees only the short
@@ -22,17 +23,28 @@
 RAISE = 1.15  # the least times are thought longer by so much where a cut is taken back
 LOST = 0.1  # share of refusals by the module past which the limit is too high
 FEW = 40  # answers of a class in a span that count as much as all before
+KNOWN = 512  # statements whose pace is remembered
 RATE = 0.3  # weight of the newest span in the rate of draining
 
 
+class Pace:
+    """How long queries of one statement take: smoothed (the least of means of few would be far too short),
+    and at the least."""
+
+    __slots__ = ("mean", "least")
+
+    def __init__(self) -> None:
+        self.mean = self.least = 0.0
+
+
 class Limit:
     """Parts that may be inside; `rate` is the charge answered a ms while the limit was what held back."""
 
-    def __init__(self, classes: int) -> None:
+    def __init__(self) -> None:
         self.parts, self.rate = FIRST, 0.0
         self.wait = 0.0  # ms of a query's time inside that are waiting
-        self._least = [0.0] * classes
-        self._mean = [0.0] * classes  # smoothed: the least of many means of few would be far too short
+        self._paces: OrderedDict[int, Pace] = OrderedDict()  # of statements, the one last seen at the end
+        self._mean = 0.0  # ms of a query
         self._swift, self._young = True, True
         self._cut: tuple[float, float] | None = None  # limit and rate before a cut not judged yet
         self._stalled = 0.0
@@ -45,7 +57,7 @@
         self._times: dict[int, list[float]] = {}
         self._lags: list[float] = []
 
-    def ended(self, query_class: int, parts: int, charge: float, took: float, kind: str, full: bool) -> None:
+    def ended(self, statement: int, parts: int, charge: float, took: float, kind: str, full: bool) -> None:
         """A query has ended; `full` tells whether others wait for its room."""
         self._ends += 1
         self._full += full
@@ -53,7 +65,8 @@
             self._answers += 1
             self._done_parts += parts
             self._charge += charge
-            self._times.setdefault(query_class, []).append(took)
+            self._times.setdefault(statement, []).append(took)
+            self._mean += (took - self._mean) / FEW if self._mean > 0 else took
         elif kind == "refused":
             self._refusals += 1
 
@@ -66,7 +79,7 @@
     def turn(self, now: float) -> bool:
         """End the span where it is time; tells whether something was learnt."""
         age = now - self._from
-        if age < LONG and (age < SPAN or age < RUNS * max(self._mean) or self._ends < ENOUGH):
+        if age < LONG and (age < SPAN or age < RUNS * self._mean or self._ends < ENOUGH):
             return False
         learnt = self._ends > 0
         if learnt and not self._stalled:
@@ -91,13 +104,13 @@
             self._cut = None
             if rate < pace * (1.0 - COSTS * (1.0 - self.parts / before)):  # what was cut was no waiting
                 self.parts = before
-                self._least = [known * RAISE for known in self._least]
+                self._stretch(RAISE)
                 return
         lost = self._refusals > LOST * self._ends
         if lost or (full and slow > 2.0):
             if self._swift:  # what ends while the number inside doubles a span is the shorter, by this much
                 self._swift = False
-                self._least = [known * (1 + math.log(2) / RUNS) for known in self._least]
+                self._stretch(1 + math.log(2) / RUNS)
             pace, before = rate, self.parts
             least = self._done_parts / age * self._mean_least()
             # twice the work is as much waiting as work; what is cut is cut by at most half a span
@@ -110,20 +123,26 @@
 
     def _mean_least(self) -> float:
         known = sum(len(t) for t in self._times.values())
-        return sum(self._least[c] * len(t) for c, t in self._times.items()) / known if known else 0.0
+        return sum(self._paces[s].least * len(t) for s, t in self._times.items()) / known if known else 0.0
+
+    def _stretch(self, by: float) -> None:
+        for pace in self._paces.values():
+            pace.least *= by
 
     def _slowness(self, full: bool) -> float:
-        """Time of queries beside the least of their class; 1 is as fast as ever."""
+        """Time of queries beside the least of their statements; 1 is as fast as ever."""
         took = least = 0.0
-        for query_class, times in self._times.items():
-            mean, known = self._mean[query_class], self._least[query_class]
+        for statement, times in self._times.items():
+            pace = self._paces.setdefault(statement, Pace())
+            self._paces.move_to_end(statement)
             now = sum(times) / len(times)
-            mean += (now - mean) * len(times) / (len(times) + FEW) if mean > 0 else now
-            self._mean[query_class] = mean
-            known = mean if known <= 0 else min(mean, known if full else known * FORGET)
-            self._least[query_class] = known
-            took += mean * len(times)
-            least += known * len(times)
+            pace.mean += (now - pace.mean) * len(times) / (len(times) + FEW) if pace.mean > 0 else now
+            known = pace.least if full else pace.least * FORGET
+            pace.least = min(pace.mean, known) if known > 0 else pace.mean
+            took += pace.mean * len(times)
+            least += pace.least * len(times)
+        while len(self._paces) > max(KNOWN, len(self._times)):
+            self._paces.popitem(last=False)
         if least <= 0:
             return 1.0
         self.wait = (took - least) / sum(len(t) for t in self._times.values())
--- a/tansycrank/door/policy.py
+++ b/tansycrank/door/policy.py
@@ -24,6 +24,8 @@
 from tansycrank.door.promises import Account, Book
 
 LEAST_WORK = 0.1  # of the time inside that counts as work at least
+SMALL = 8.0  # times smaller than the mean of what is here: light
+PAST = 0.25  # of the limit that light queries may hold beside it
 LEFT = 0.02  # of its pace that a tenant's newcomers have at least beside those who come back
 MEMORY = 2000.0  # ms over which a tenant's demand is remembered
 TRIES = 8  # tenants looked at for one that can be forgotten
@@ -213,14 +215,15 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
-        self.costs, self.limit = Costs(len(settings.classes)), Limit(len(settings.classes))
+        self.costs, self.limit = Costs(len(settings.classes)), Limit()
         self.book = Book(settings.places, settings.horizon)
         self.root, self.sketch = Level(), Sketch()
         self.tenants: OrderedDict[str, Tenant] = OrderedDict()
         self.waiting: dict[int, Ticket] = {}
         self.inside: dict[int, Ticket] = {}
         self.parts = self.bytes = 0  # inside; in line
-        self.charge = 0.0  # of all that wait
+        self.charge = self.inside_charge = 0.0  # of all that wait, of all inside
+        self.light = 0  # parts inside of light queries that were let past the line
         self.changed: dict[str, Limits] = {}
         self.counts = dict.fromkeys(
             ("arrived", "admitted", "line", "late", "full", "pushed", "module", "early", "returned",
@@ -382,7 +385,9 @@
         if due:
             self.counts["returned"] += 1
             tenant.returns.add(now, charge)
-        if self._room(tenant):
+        light = self._light(charge)
+        if self._room(tenant) or (light and self._under_ceiling(tenant, event.parts)):
+            ticket.light = light
             if place is not None and not due:
                 self.book.drop(tenant.account, event.mark)
             self.root.pass_by(tenant.line, charge)
@@ -396,6 +401,16 @@
         elif self._fits(now, tenant, ticket):
             self._enter(tenant, ticket)
 
+    def _light(self, charge: float) -> bool:
+        """Whether a query is so small beside what is here that it need not wait for it.
+
+        Danger: large ones hold their room for long, and each look-up would wait for one to end.
+        """
+        count = len(self.inside) + len(self.waiting)
+        if not count or self.light >= max(PAST * self.limit.parts, 1.0):
+            return False
+        return charge * SMALL <= (self.inside_charge + self.charge) / count
+
     def _room(self, tenant: Tenant) -> bool:
         """Whether a query can go straight in: nobody waits whose turn it would be."""
         return self.parts < self.limit.parts and not tenant.line and self.root.first() is None and (
@@ -489,6 +504,8 @@
 
     def _admit(self, now: float, tenant: Tenant, ticket: Ticket) -> None:
         ticket.began = now
+        self.inside_charge += ticket.charge
+        self.light += ticket.parts if ticket.light else 0
         self.inside[ticket.id] = ticket
         self.parts += ticket.parts
         tenant.inside += ticket.parts
@@ -512,6 +529,8 @@
         full = self.parts >= self.limit.parts
         tenant = self.tenants[ticket.tenant]
         self.parts -= ticket.parts
+        self.inside_charge = max(self.inside_charge - ticket.charge, 0.0) if self.inside else 0.0
+        self.light -= ticket.parts if ticket.light else 0
         tenant.inside -= ticket.parts
         stalled = self._stall if ticket.began < self._stalled_at else 0.0
         took = max(event.took - stalled, 0.0)
@@ -522,7 +541,7 @@
             tenant.charged += real - ticket.charge
             tenant.line.debt += (real - ticket.charge) / tenant.line.weight  # moves its next turn
             ticket.charge = real
-        self.limit.ended(ticket.query_class, ticket.parts, ticket.charge, took, event.kind, full)
+        self.limit.ended(ticket.statement, ticket.parts, ticket.charge, took, event.kind, full)
         self._unpark(tenant)
         if event.kind == "refused":
             self._refuse(now, tenant, ticket, "module", event.hold_off)
--- a/tansycrank/router/service.py
+++ b/tansycrank/router/service.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -26,6 +27,7 @@
 from tansycrank.sql.plan import Prepared
 from tansycrank.sql.planner import Planner, explain_lines
 
+LITERAL = re.compile(r"'(?:[^']|'')*'|\b\d+\b")  # statements alike but for these cost alike
 NOBODY = Caller("", "", "")  # who asks where no session does
 AT_ONCE = 192 * 1024  # bytes of parts that are merged in one go; more is merged in slices
 SAFE, KEYED, UNSAFE = 0, 1, 2  # the order of `Config.module_settings`
@@ -240,7 +242,7 @@
                 time_left,
                 start,
                 done,
-                statement=xxhash.xxh3_64_intdigest(sql.encode()),
+                statement=xxhash.xxh3_64_intdigest(LITERAL.sub("?", sql).encode()),
                 mark=held.intdigest() | 1,
                 size=size,
                 repeat=settings.get("tansycrank.repeat") in ("on", "true"),
