The router's own time is shared by tenants; hopeless statements are refused unread

Need: on real sockets a flood of 1,270 statements a second took all of the router's thread, and the others' answers waited for it.

--- a/tansycrank/cli.py
+++ b/tansycrank/cli.py
@@ -4,6 +4,7 @@
 
 import json
 import sys
+import time
 from pathlib import Path
 
 import click
@@ -124,6 +125,46 @@
     click.echo(f"({len(rows)} row{'' if len(rows) == 1 else 's'})")
 
 
+@main.command()
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", default=6432, show_default=True)
+@click.option("--every", default=1.0, show_default=True, type=click.FloatRange(0.1, 60), help="Seconds.")
+@click.option("--times", default=0, help="How many times; 0 until interrupted.")
+@click.option("--rows", default=20, show_default=True, type=click.IntRange(1, 200))
+def top(host: str, port: int, every: float, times: int, rows: int) -> None:
+    """Who is at the door: the router's limit and line, and the tenants with most in line first."""
+    import psycopg
+
+    shown = ("tenant", "queued", "inside_parts", "rate", "weight", "refused", "corrected", "promised",
+             "last_wait_ms")  # fmt: skip
+    try:
+        with psycopg.connect(host=host, port=port, user="top", dbname="tansycrank", autocommit=True) as link:
+            turn = 0
+            while not times or turn < times:
+                turn += 1
+                door = dict(link.execute("SHOW tansycrank.door").fetchall())
+                cursor = link.execute("SHOW tansycrank.tenants")
+                names = [c.name for c in cursor.description]
+                found = [dict(zip(names, row, strict=True)) for row in cursor.fetchmany(rows)]
+                if sys.stdout.isatty():
+                    click.clear()
+                figures = ("limit_parts", "inside_parts", "queued")
+                told = {name: door.get(name) or "-" for name in figures}
+                drains = door.get("drain_parts_a_second") or "-"
+                click.echo(" ".join(f"{name} {value}" for name, value in told.items()) + f" drains {drains}/s")
+                table = [shown, *(tuple(row[name] for name in shown) for row in found)]
+                widths = [max(len(row[i]) for row in table) for i in range(len(shown))]
+                for row in table:
+                    click.echo("  ".join(v.ljust(w) for v, w in zip(row, widths, strict=True)).rstrip())
+                if turn != times:
+                    time.sleep(every)
+    except KeyboardInterrupt:
+        pass
+    except psycopg.Error as problem:
+        click.echo(f"{problem.sqlstate or 'connection'}: {str(problem).strip()}", err=True)
+        sys.exit(1)
+
+
 @main.command()
 @click.option("--seconds", default=0, help="How long to stay up afterwards; 0 ends at once.")
 @click.option("--nodes", default=12, show_default=True, type=click.IntRange(3, 24))
@@ -135,11 +176,11 @@
 
 
 def _experiment(group: str, name: str, as_json: bool, seed: int, quick: bool, out: str | None) -> None:
-    from tansycrank.lab import drills, measure_merge, measures
+    from tansycrank.lab import drills, measure_door, measure_merge, measures
 
     known = {
         "drill": drills.DRILLS,
-        "measure": measures.MEASURES | {"merge": measure_merge.merge},
+        "measure": measures.MEASURES | {"merge": measure_merge.merge} | measure_door.MEASURES,
     }[group]
     if name not in known:
         raise click.BadParameter(f"{name!r}; there are: {', '.join(known)}")
@@ -147,8 +188,13 @@
     text = json.dumps(report, indent=2, default=str)
     if out:
         Path(out).write_text(text + "\n", encoding="utf-8")
-        if name == "merge":
-            measure_merge.plot(report, str(Path(out).with_suffix(".png")))
+        plots = {
+            "merge": measure_merge.plot,
+            "door-memory": measure_door.plot,
+            "door-honesty": measure_door.plot,
+        }
+        if name in plots:
+            plots[name](report, str(Path(out).with_suffix(".png")))
     click.echo(text)
     sys.exit(0 if report["held"] else 1)
 
@@ -183,6 +229,7 @@
 def measure(name: str, as_json: bool, seed: int, quick: bool, out: str | None) -> None:
     """Measure a router beside a direct connection. Exit code 1 if what it states did not hold.
 
-    Measures: overhead (what the router adds to small queries), merge (large answers; with --out also a plot).
+    Measures: overhead (what the router adds to small queries), merge (large answers; with --out also a plot),
+    fairness (a flood beside other tenants), door-memory, door-honesty and door-size (the last two simulated).
     """
     _experiment("measure", name, as_json, seed, quick, out)
--- a/tansycrank/door/gate.py
+++ b/tansycrank/door/gate.py
@@ -16,6 +16,7 @@
 from tansycrank.pg.errors import FAILED, QUERY_CANCELED, REFUSED, PgError
 
 BEAT = 0.05  # seconds between two looks while anything is open
+TOLD = 1000  # tenants counted between two log lines
 WHY = {
     "line": "its turn would come too late",
     "late": "its turn did not come in time",
@@ -99,6 +100,29 @@
         self._keep_beat()
         return entry
 
+    def pressed(self, tenant: str) -> bool:
+        """Whether a tenant may have to wait."""
+        return self.policy is not None and self.policy.pressed(tenant)
+
+    def glance(
+        self, asker: Asker, query_class: int, time_left: float, mark: int, repeat: bool
+    ) -> PgError | None:
+        """The refusal of a query whose turn is too far off whatever it is, None where it may not be."""
+        self._ids += 1
+        event = Arrived(
+            self._ids, asker.tenant, asker.client, query_class, 1, time_left, 0, mark, 0, repeat, asker.limits
+        )
+        found = self.policy.glance(self.now, event)
+        if found is None:
+            return None
+        self._count_told(asker.tenant, found.reason)
+        self._keep_beat()
+        return refusal(found.wait, found.reason, found.corrected)
+
+    def _count_told(self, tenant: str, reason: str) -> None:
+        reasons = self.told.setdefault(tenant, {}) if len(self.told) < TOLD else {}
+        reasons[reason] = reasons.get(reason, 0) + 1
+
     def leave(self, entry: Entry, cancel: Callable[[Any], None]) -> None:
         """Its client cancels or has gone: out of the line, or `cancel(what start returned)`."""
         if entry.ended:
@@ -150,8 +174,7 @@
         entry = self.entries.get(number)
         if entry is None:
             return
-        reasons = self.told.setdefault(entry.asker.tenant, {}) if len(self.told) < 1000 else {}
-        reasons[reason] = reasons.get(reason, 0) + 1
+        self._count_told(entry.asker.tenant, reason)
         self._finish(entry, refusal(wait, reason, corrected))
 
     def _ended(self, entry: Entry, outcome: Any) -> None:
--- a/tansycrank/door/policy.py
+++ b/tansycrank/door/policy.py
@@ -401,6 +401,35 @@
         elif self._fits(now, tenant, ticket):
             self._enter(tenant, ticket)
 
+    def pressed(self, key: str) -> bool:
+        """Whether a new query of this tenant could be turned away."""
+        tenant = self.tenants.get(key)
+        return tenant is not None and not self._room(tenant)
+
+    def glance(self, now: float, event: Arrived) -> Refuse | None:
+        """Refuse a query of which only the sender and the text are known, where one part is too much.
+
+        None where it may have a chance; nothing is noted then, and it comes again when it is understood.
+        """
+        tenant = self.tenants.get(event.tenant)
+        if tenant is None or self._room(tenant):
+            return None
+        charge = self.costs.expect(event.query_class, event.statement, 1)
+        place = tenant.account.places.get(event.mark)
+        if place is not None:
+            if now >= self.book.opens(place):
+                return None
+        else:
+            if self._light(charge):
+                return None
+            useful = self.settings.useful
+            left = min(event.time_left, useful[event.query_class]) if useful else event.time_left
+            ticket = Ticket(0, tenant.key, event.client, event.query_class, 0, 1, charge, 0, now, now + left)
+            if self._turn(now, tenant, ticket) <= ticket.leave_by:
+                return None
+        actions = self.step(now, [event])
+        return next((a for a in actions if isinstance(a, Refuse) and a.id == event.id), None)
+
     def _light(self, charge: float) -> bool:
         """Whether a query is so small beside what is here that it need not wait for it.
 
@@ -413,8 +442,11 @@
 
     def _room(self, tenant: Tenant) -> bool:
         """Whether a query can go straight in: nobody waits whose turn it would be."""
-        return self.parts < self.limit.parts and not tenant.line and self.root.first() is None and (
-            self._under_ceiling(tenant, 1)
+        return (
+            self.parts < self.limit.parts
+            and not tenant.line
+            and self.root.first() is None
+            and (self._under_ceiling(tenant, 1))
         )
 
     def _under_ceiling(self, tenant: Tenant, parts: int) -> bool:
--- a/tansycrank/door/promises.py
+++ b/tansycrank/door/promises.py
@@ -57,12 +57,14 @@
         self.kept = 0
         self._filled = [0.0] * self.pages
         self._page = 0  # the number of the first page
+        self._next: dict[int, int] = {}  # of closed pages, where to look on
         self._expiry: list[tuple[float, str, int, Place]] = []
 
     def _turn(self, now: float) -> None:
         page = int(now / SPAN)
         for number in range(self._page, min(page, self._page + self.pages)):
             self._filled[number % self.pages] = 0.0
+            self._next.pop(number, None)
         self._page = max(self._page, page)
 
     def slot(self, now: float, due: float, charge: float, rate: float) -> float:
@@ -71,7 +73,11 @@
         room = max(rate * SPAN, charge)
         number = max(int(due / SPAN), self._page)
         end = self._page + self.pages
-        while number < end and self._filled[number % self.pages] + charge > room:
+        while number < end:
+            number = self._open(number)
+            if number >= end or self._filled[number % self.pages] + charge <= room:
+                break
+            self._next[number] = number + 1  # closed: looking through full pages again and again costs time
             number += 1
         if number >= end:
             return max(due, end * SPAN)
@@ -79,9 +85,17 @@
         self._filled[number % self.pages] = filled + charge
         return max(due, number * SPAN + filled / room * SPAN)
 
-    def keep(
-        self, account: Account, tenant: str, mark: int, now: float, due: float, charge: float
-    ) -> bool:
+    def _open(self, number: int) -> int:
+        """The first page from this one on that is not closed."""
+        path = []
+        while (following := self._next.get(number)) is not None:
+            path.append(number)
+            number = following
+        for one in path:
+            self._next[one] = number
+        return number
+
+    def keep(self, account: Account, tenant: str, mark: int, now: float, due: float, charge: float) -> bool:
         """Keep a place; False where the bound is reached or the time is too far."""
         if self.kept >= self.bound or due > now + self.pages * SPAN:
             account.unnamed += charge
@@ -98,12 +112,17 @@
         place = account.places.get(mark)
         if place is None:
             return None, False
-        if now < place.due - max(EARLY * place.wait, EARLY_LEAST):
+        if now < self.opens(place):
             return place, False
         self.drop(account, mark)
         account.show += LEARN * (1.0 - account.show)
         return place, True
 
+    @staticmethod
+    def opens(place: Place) -> float:
+        """When a place may be taken up: a little before its time, for clocks differ."""
+        return place.due - max(EARLY * place.wait, EARLY_LEAST)
+
     def drop(self, account: Account, mark: int) -> None:
         """A place is no longer needed."""
         place = account.places.pop(mark, None)
--- a/tansycrank/door/views.py
+++ b/tansycrank/door/views.py
@@ -24,9 +24,7 @@
     """One row a tenant; rate in parts a second, promised: places kept."""
     if gate.policy is None:
         return []
-    found = sorted(
-        gate.policy.tenants.values(), key=lambda t: (-t.line.size, -t.inside, -t.refused, t.key)
-    )
+    found = sorted(gate.policy.tenants.values(), key=lambda t: (-t.line.size, -t.inside, -t.refused, t.key))
     rows = []
     for t in found[:SHOWN]:
         limits = t.limits
@@ -92,9 +90,7 @@
     new = replace(old, **changes)
     if new.min_share > new.max_share:
         raise PgError(INVALID_PARAMETER, f"tansycrank.limits: min_share {new.min_share:g} above max_share")
-    total = new.min_share + sum(
-        t.limits.min_share for t in gate.policy.tenants.values() if t.key != tenant
-    )
+    total = new.min_share + sum(t.limits.min_share for t in gate.policy.tenants.values() if t.key != tenant)
     if total > 0.9:
         raise PgError(
             INVALID_PARAMETER, f"tansycrank.limits: least shares would be {total:g} in all, at most 0.9"
--- a/tansycrank/lab/hammer.py
+++ b/tansycrank/lab/hammer.py
@@ -26,11 +26,11 @@
     seconds: float = 3.0
 
 
-def dial(port: int) -> socket.socket:
+def dial(port: int, user: str = "hammer") -> socket.socket:
     """A session, logged in."""
     link = socket.create_connection(("127.0.0.1", port))
     link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    link.sendall(pg.startup({"user": "hammer", "database": "tansycrank"}))
+    link.sendall(pg.startup({"user": user, "database": "tansycrank"}))
     data = b""
     while data[-6:-1] != READY:
         more = link.recv(65536)
--- a/tansycrank/lab/simulated.py
+++ b/tansycrank/lab/simulated.py
@@ -160,9 +160,7 @@
         """As `Pools.send`."""
         sending = SimSending(server, stream, done, float(request.sql))
         if time_out > 0:
-            sending.timer = self.clock.callLater(
-                time_out / 1000, sending.finish, Ended(io.Outcome.TIMED_OUT)
-            )
+            sending.timer = self.clock.callLater(time_out / 1000, sending.finish, Ended(io.Outcome.TIMED_OUT))
         self.clock.callLater(0.0002, self.nodes[server].take, sending)
         return sending
 
--- a/tansycrank/pg/server.py
+++ b/tansycrank/pg/server.py
@@ -15,6 +15,7 @@
 from twisted.protocols.basic import LineReceiver
 
 from tansycrank.door.identity import Caller
+from tansycrank.door.turns import Turns
 from tansycrank.merge.rows import Result
 from tansycrank.pg import messages as pg
 from tansycrank.pg import types
@@ -225,15 +226,30 @@
                     self._queue.append((pg.read_frontend(kind, frame), len(frame)))
                     self._queued += len(frame)
                 self._throttle()
-                self.advance()
+                if not self._busy:  # else it goes on when its statement is done
+                    self.factory.turns.wake(self, self._tenant())
         except PgError as problem:
             self._fatal(problem)
 
+    @property
+    def id(self) -> int:
+        """What tells it from other sessions."""
+        return self.pid
+
+    def look(self) -> bool:
+        """Its turn has come: handle what waits."""
+        self.advance()
+        return False
+
+    def _tenant(self) -> str:
+        return self.service.identity.who(self.caller, self.settings.get("tansycrank.tenant", "")).tenant
+
     def connectionLost(self, reason=None) -> None:  # noqa: N802
         self.state = "closed"
         if self._login is not None and self._login.active():
             self._login.cancel()
         self.factory.closed(self)
+        self.factory.turns.forget(self, self._tenant())
         self._queue.clear()
         if self._running is not None:
             running, self._running = self._running, None
@@ -692,6 +708,9 @@
         self._drop_portals() if self.block == "I" else None
         try:
             comment, rest = self._check_size(sql)
+            refusal = self.service.glance(rest, self.caller, self.settings)
+            if refusal is not None:
+                raise refusal
             statements = self.service.prepare(rest)
             if len(statements) > 1 and any(s.writes or s.volatile for s in statements):
                 raise PgError(
@@ -1104,6 +1123,7 @@
         self._chance = random.Random(seed)
         self._pid = 0
         self._watching = None
+        self.turns = Turns(lambda f: reactor.callLater(0, f), reactor.seconds)
 
     def buildProtocol(self, addr) -> Session:  # noqa: N802
         return Session(self)
--- a/tansycrank/router/service.py
+++ b/tansycrank/router/service.py
@@ -14,7 +14,7 @@
 from tansycrank.config import Config, split
 from tansycrank.door import views
 from tansycrank.door.gate import Entry, Gate
-from tansycrank.door.identity import Caller, Identity
+from tansycrank.door.identity import Asker, Caller, Identity
 from tansycrank.merge import pipeline
 from tansycrank.merge.blocks import frames_of
 from tansycrank.merge.rows import PartRows, Result, merge, part_formats
@@ -28,6 +28,7 @@
 from tansycrank.sql.planner import Planner, explain_lines
 
 LITERAL = re.compile(r"'(?:[^']|'')*'|\b\d+\b")  # statements alike but for these cost alike
+RUNS = re.compile(r"\s*(?:select|insert|update|delete|with)\b[^;]*;?\s*$", re.I)  # one, for the store
 NOBODY = Caller("", "", "")  # who asks where no session does
 AT_ONCE = 192 * 1024  # bytes of parts that are merged in one go; more is merged in slices
 SAFE, KEYED, UNSAFE = 0, 1, 2  # the order of `Config.module_settings`
@@ -222,18 +223,40 @@
         time_left = self._time_left(index, settings)
         return self._enter(request, settings, 3 * index + effect, len(requests), time_left, start, done)
 
+    def glance(self, sql: str, caller: Caller, settings: Mapping[str, str]) -> PgError | None:
+        """A refusal without understanding the statement, where its tenant's turn is too far off anyway.
+
+        Danger: under a flood, planning what is refused in the end would take all of the router's time.
+        """
+        if self.gate.policy is None or not RUNS.match(sql):
+            return None
+        asker = self.identity.who(caller, settings.get("tansycrank.tenant", ""))
+        if not self.gate.pressed(asker.tenant):
+            return None
+        index = 0
+        for number, one in enumerate(self.config.classes):
+            if settings.get("tansycrank.class", "") == one.name or (
+                not settings.get("tansycrank.class") and one.pattern is not None and one.pattern.search(sql)
+            ):
+                index = number
+                break
+        mark = self._mark(asker, sql, ())
+        repeat = settings.get("tansycrank.repeat") in ("on", "true")
+        return self.gate.glance(asker, 3 * index + SAFE, self._time_left(index, settings), mark, repeat)
+
+    def _mark(self, asker: Asker, sql: str, values: tuple[bytes | None, ...]) -> int:
+        held = xxhash.xxh3_64(f"{asker.tenant}|{asker.client}|{sql.rstrip('; ')}".encode())
+        for value in values:
+            held.update(b"-" if value is None else b"+" + value)
+        return held.intdigest() | 1
+
     def _enter(
         self, request: Request, settings, query_class: int, parts: int, time_left: float, start, done
     ) -> Running:
         """Through the door."""
         asker = self.identity.who(request.caller, settings.get("tansycrank.tenant", ""))
         sql = request.prepared.sql
-        held = xxhash.xxh3_64(f"{asker.tenant}|{asker.client}|{sql}".encode())
-        size = len(sql)
-        for value in request.values:
-            if value is not None:
-                held.update(value)
-                size += len(value)
+        size = len(sql) + sum(len(value) for value in request.values if value is not None)
         return Running(
             self.gate.enter(
                 asker,
@@ -243,7 +266,7 @@
                 start,
                 done,
                 statement=xxhash.xxh3_64_intdigest(LITERAL.sub("?", sql).encode()),
-                mark=held.intdigest() | 1,
+                mark=self._mark(asker, sql, request.values),
                 size=size,
                 repeat=settings.get("tansycrank.repeat") in ("on", "true"),
             )
--- /dev/null
+++ b/tests/door/test_machine.py
@@ -0,0 +1,150 @@
+"""No order of events loses or doubles a query, passes a bound, or starves a tenant with a share."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from tansycrank.door.policy import (
+    Admit,
+    Arrived,
+    Changed,
+    Ended,
+    Left,
+    Limits,
+    Policy,
+    Refuse,
+    Settings,
+    Tick,
+    Wake,
+)
+
+BOUNDS = Settings(classes=(1.0, 3.0), useful=(500.0, 900.0), queries=12, bytes=4000, tenants=4, places=10)
+
+
+class Door(RuleBasedStateMachine):
+    """All that can happen, in any order; each query's one fate is written down."""
+
+    def __init__(self):
+        super().__init__()
+        self.policy = Policy(BOUNDS)
+        self.now, self.ids = 0.0, 0
+        self.open, self.inside, self.fate, self.marks = {}, set(), {}, {}
+
+    def play(self, *events):
+        for action in self.policy.step(self.now, events):
+            match action:
+                case Admit(number):
+                    assert number in self.open and number not in self.inside
+                    self.inside.add(number)
+                case Refuse(number, wait):
+                    assert number in self.open and wait >= 0
+                    assert number not in self.inside
+                    del self.open[number]
+                    self.fate[number] = "refused"
+                case Wake(at):
+                    assert at >= self.now or self.policy.waiting
+
+    @rule(
+        tenant=st.sampled_from("abcdefgh"),
+        client=st.sampled_from("xy"),
+        query_class=st.integers(0, 1),
+        parts=st.integers(1, 9),
+        left=st.floats(1, 3000),
+        size=st.integers(0, 1500),
+        mark=st.integers(0, 30),
+        repeat=st.booleans(),
+        share=st.sampled_from([0.0, 0.0, 0.2]),
+    )
+    def arrives(self, tenant, client, query_class, parts, left, size, mark, repeat, share):
+        self.ids += 1
+        self.open[self.ids] = tenant
+        self.play(
+            Arrived(
+                self.ids, tenant, client, query_class, parts, left, mark % 5, mark, size, repeat,
+                Limits(min_share=share),
+            )
+        )  # fmt: skip
+
+    @precondition(lambda self: self.inside)
+    @rule(data=st.data(), kind=st.sampled_from(["answered", "answered", "refused", "failed", "cancelled"]))
+    def ends(self, data, kind):
+        number = data.draw(st.sampled_from(sorted(self.inside)))
+        self.inside.discard(number)
+        if kind != "refused":
+            del self.open[number]
+            self.fate[number] = kind
+        self.play(Ended(number, kind, data.draw(st.floats(0, 5000)), 50.0))
+        assert number in self.fate
+
+    @precondition(lambda self: self.policy.waiting)
+    @rule(data=st.data())
+    def leaves(self, data):
+        number = data.draw(st.sampled_from(sorted(self.policy.waiting)))
+        del self.open[number]
+        self.fate[number] = "left"
+        self.play(Left(number))
+
+    @rule(after=st.floats(0, 4000), late=st.sampled_from([0.0, 0.0, 5.0, 2000.0]))
+    def time_goes_by(self, after, late):
+        self.now += after
+        self.play(Tick(late))
+
+    @rule(tenant=st.sampled_from("abcd"), weight=st.floats(0.01, 100), most=st.floats(0.05, 1))
+    def limits_change(self, tenant, weight, most):
+        self.play(Changed(tenant, Limits(weight, 0.0, most, 100.0)))
+
+    @invariant()
+    def every_query_is_somewhere_once(self):
+        waiting = set(self.policy.waiting)
+        assert waiting | self.inside == set(self.open) and not waiting & self.inside
+        assert set(self.policy.inside) == self.inside
+
+    @invariant()
+    def bounds_hold(self):
+        policy = self.policy
+        assert policy.root.size == len(policy.waiting) <= BOUNDS.queries
+        assert policy.bytes == sum(t.size for t in policy.waiting.values()) <= BOUNDS.bytes
+        assert policy.parts == sum(t.parts for t in policy.inside.values())
+        assert 0 <= policy.book.kept <= BOUNDS.places
+        assert policy.book.kept == sum(len(t.account.places) for t in policy.tenants.values())
+
+    @invariant()
+    def lines_add_up(self):
+        for tenant in self.policy.tenants.values():
+            mine = [t for t in self.policy.waiting.values() if t.tenant == tenant.key]
+            assert tenant.line.size == len(mine)
+            assert tenant.inside == sum(
+                t.parts for t in self.policy.inside.values() if t.tenant == tenant.key
+            )
+
+    @invariant()
+    def nobody_waits_beside_room(self):
+        policy = self.policy
+        able = [t for t in policy.tenants.values() if t.line and not t.parked]
+        assert not able or policy.parts >= policy.limit.parts
+
+    @invariant()
+    def nobody_waits_past_his_time(self):
+        assert all(t.leave_by > self.now for t in self.policy.waiting.values())
+
+    def teardown(self):
+        """Whatever came before: once all inside has ended and time has passed, everyone has an answer."""
+        while self.inside:
+            number = min(self.inside)
+            self.inside.discard(number)
+            del self.open[number]
+            self.fate[number] = "answered"
+            self.play(Ended(number, "answered", 10.0))
+        self.now += 10_000
+        self.play(Tick())
+        while self.inside:
+            number = min(self.inside)
+            self.inside.discard(number)
+            del self.open[number]
+            self.fate[number] = "answered"
+            self.play(Ended(number, "answered", 10.0))
+        assert not self.open and not self.policy.waiting and len(self.fate) == self.ids
+
+
+TestDoor = Door.TestCase
+TestDoor.settings = settings(max_examples=60, stateful_step_count=60, deadline=None)
