--- a/tansycrank/cli.py
+++ b/tansycrank/cli.py
@@ -151,7 +151,8 @@
                 figures = ("limit_parts", "inside_parts", "queued")
                 told = {name: door.get(name) or "-" for name in figures}
                 drains = door.get("drain_parts_a_second") or "-"
-                click.echo(" ".join(f"{name} {value}" for name, value in told.items()) + f" drains {drains}/s")
+                told["drains a second"] = drains
+                click.echo("  ".join(f"{name} {value}" for name, value in told.items()))
                 table = [shown, *(tuple(row[name] for name in shown) for row in found)]
                 widths = [max(len(row[i]) for row in table) for i in range(len(shown))]
                 for row in table:
--- a/tansycrank/door/policy.py
+++ b/tansycrank/door/policy.py
@@ -231,6 +231,7 @@
         )  # fmt: skip
         self._expiry: list[tuple[float, int]] = []
         self._out: list[Admit | Refuse | Wake] = []
+        self._long: list[tuple[float, str]] = []  # tenants by what they had in line
         self._stall = self._stalled_at = 0.0
         self._shared = 0  # lines of tenants that can't be known exactly
         self._level = math.inf  # charge a ms and weight of those who want more
@@ -484,10 +485,7 @@
         """Keep the bounds of the line: past them, who has more than its part of it gives way."""
         bounds = self.settings
         while self.root.size >= bounds.queries or self.bytes + ticket.size > bounds.bytes:
-            longest = max(
-                (t for k in self.root.children if (t := self.tenants.get(k)) and t.line),
-                key=lambda t: t.line.charge / t.limits.weight, default=None,
-            )  # fmt: skip
+            longest = self._longest()
             mine = (tenant.line.charge + ticket.charge) / tenant.limits.weight
             if longest is None or longest.line.charge / longest.limits.weight <= mine:
                 self._refuse(now, tenant, ticket, "full")
@@ -497,12 +495,32 @@
             self._refuse(now, longest, victim, "pushed")
         return True
 
+    def _longest(self) -> Tenant | None:
+        """Who has most in line for its weight; the heap holds what was so once, put right on the way."""
+        heap = self._long
+        while heap:
+            noted, key = heap[0]
+            tenant = self.tenants.get(key)
+            now = -tenant.line.charge / tenant.limits.weight if tenant is not None and tenant.line else 0.0
+            if now <= noted:
+                return tenant
+            if now == 0.0:
+                heapq.heappop(heap)
+            else:
+                heapq.heapreplace(heap, (now, key))
+        return None
+
     def _enter(self, tenant: Tenant, ticket: Ticket) -> None:
         self.waiting[ticket.id] = ticket
         tenant.line.add(ticket)
         self.root.size += 1
         self.bytes += ticket.size
         self.charge += ticket.charge
+        heapq.heappush(self._long, (-tenant.line.charge / tenant.limits.weight, tenant.key))
+        if len(self._long) > 4 * self.root.size + 1024:
+            found = (t for t in self.tenants.values() if t.line)
+            self._long = [(-t.line.charge / t.limits.weight, t.key) for t in found]
+            heapq.heapify(self._long)
         if not tenant.parked:
             self.root.enter(tenant.key, tenant.line)
         heapq.heappush(self._expiry, (ticket.leave_by, ticket.id))
