--- a/tansycrank/door/gate.py
+++ b/tansycrank/door/gate.py
@@ -108,16 +108,21 @@
         self, asker: Asker, query_class: int, time_left: float, mark: int, repeat: bool
     ) -> PgError | None:
         """The refusal of a query whose turn is too far off whatever it is, None where it may not be."""
-        self._ids += 1
-        event = Arrived(
-            self._ids, asker.tenant, asker.client, query_class, 1, time_left, 0, mark, 0, repeat, asker.limits
-        )
-        found = self.policy.glance(self.now, event)
-        if found is None:
+        number, who = self._ids + 1, (asker.tenant, asker.client)
+        event = Arrived(number, *who, query_class, 1, time_left, 0, mark, 0, repeat, asker.limits)
+        if not self.policy.hopeless(self.now, event):
             return None
-        self._count_told(asker.tenant, found.reason)
+        self._ids += 1
+        told: list[PgError] = []
+        entry = Entry(event.id, asker, self.now + time_left, lambda left, done: None, told.append)
+        self.entries[entry.id] = entry
+        self._play(event)
         self._keep_beat()
-        return refusal(found.wait, found.reason, found.corrected)
+        if not told:  # it could have waited after all: it is to be looked at
+            self._play(Left(entry.id))
+            entry.ended = True
+            self.entries.pop(entry.id, None)
+        return told[0] if told else None
 
     def _count_told(self, tenant: str, reason: str) -> None:
         reasons = self.told.setdefault(tenant, {}) if len(self.told) < TOLD else {}
--- a/tansycrank/door/policy.py
+++ b/tansycrank/door/policy.py
@@ -407,29 +407,24 @@
         tenant = self.tenants.get(key)
         return tenant is not None and not self._room(tenant)
 
-    def glance(self, now: float, event: Arrived) -> Refuse | None:
-        """Refuse a query of which only the sender and the text are known, where one part is too much.
+    def hopeless(self, now: float, event: Arrived) -> bool:
+        """Whether a query of which only sender and text are known would be refused, if it has one part.
 
-        None where it may have a chance; nothing is noted then, and it comes again when it is understood.
+        Nothing is noted; who has a chance comes again when its statement is understood.
         """
         tenant = self.tenants.get(event.tenant)
         if tenant is None or self._room(tenant):
-            return None
+            return False
         charge = self.costs.expect(event.query_class, event.statement, 1)
         place = tenant.account.places.get(event.mark)
         if place is not None:
-            if now >= self.book.opens(place):
-                return None
-        else:
-            if self._light(charge):
-                return None
-            useful = self.settings.useful
-            left = min(event.time_left, useful[event.query_class]) if useful else event.time_left
-            ticket = Ticket(0, tenant.key, event.client, event.query_class, 0, 1, charge, 0, now, now + left)
-            if self._turn(now, tenant, ticket) <= ticket.leave_by:
-                return None
-        actions = self.step(now, [event])
-        return next((a for a in actions if isinstance(a, Refuse) and a.id == event.id), None)
+            return now < self.book.opens(place)
+        if self._light(charge):
+            return False
+        useful = self.settings.useful
+        left = min(event.time_left, useful[event.query_class]) if useful else event.time_left
+        ticket = Ticket(0, tenant.key, event.client, event.query_class, 0, 1, charge, 0, now, now + left)
+        return self._turn(now, tenant, ticket) > ticket.leave_by
 
     def _light(self, charge: float) -> bool:
         """Whether a query is so small beside what is here that it need not wait for it.
--- a/tansycrank/door/turns.py
+++ b/tansycrank/door/turns.py
@@ -32,7 +32,7 @@
         self._level = Level()
         self._lanes: dict[str, Lane] = {}
         self._used = 0.0
-        self._call: object = None
+        self._called = False
 
     def wake(self, reader: Reader, tenant: str) -> None:
         """A session has messages: they are looked at now where this turn has time, else by turns."""
@@ -47,8 +47,9 @@
                 self._add(reader, tenant, lane)
         else:
             self._add(reader, tenant, self._lanes.get(tenant) or Lane())
-        if self._call is None:
-            self._call = self._soon(self._turn)
+        if not self._called:
+            self._called = True
+            self._soon(self._turn)
 
     def _add(self, reader: Reader, tenant: str, lane: Lane) -> None:
         if reader.id not in lane.line:
@@ -65,7 +66,7 @@
             self._level.tidy()
 
     def _turn(self) -> None:
-        self._call, self._used = None, 0.0
+        self._called, self._used = False, 0.0
         while self._used < SLICE and (found := self._level.first()) is not None:
             tenant, lane = found
             reader = lane.take()
@@ -80,5 +81,6 @@
             self._level.serve(took)
             if not lane:
                 self._lanes.pop(tenant, None)
-        if self._level:
-            self._call = self._soon(self._turn)
+        if self._level and not self._called:
+            self._called = True
+            self._soon(self._turn)
--- a/tansycrank/lab/drills.py
+++ b/tansycrank/lab/drills.py
@@ -12,9 +12,10 @@
 
 from tansycrank.lab.checkers import Figures, Told, judge
 from tansycrank.lab.load import LoadSpec
-from tansycrank.lab.site import Layout, Site
+from tansycrank.lab.site import TENANT_RULES, Layout, Site
 
 Say = Callable[[str], None]
+FLOOD = 60  # clients of the tenant that floods
 BUDGET = (10.0, 0.2, 2000.0)
 
 
@@ -55,11 +56,11 @@
         load.wait(timeout=max(1.0, began + seconds + 25 - time.monotonic()))
 
 
-def start_load(site: Site, name: str, **more) -> tuple[subprocess.Popen, Path]:
-    """A process of clients; its notes come to the file named."""
+def start_load(site: Site, name: str, user: str = "", **more) -> tuple[subprocess.Popen, Path]:
+    """A process of clients, as this user; its notes come to the file named."""
     out = site.folder / f"{name}.jsonl"
     spec = LoadSpec(
-        dsns=tuple(site.dsn(me) for me in range(site.layout.routers)),
+        dsns=tuple(site.dsn(me) + (f" user={user}" if user else "") for me in range(site.layout.routers)),
         out=str(out),
         config=str(site.folder / "router-0.ini"),
         scale=site.layout.scale,
@@ -91,6 +92,7 @@
         cold_ms=5000,
         budget=BUDGET,
         scale=0.25,
+        rules_more=TENANT_RULES,
         nature={"work_ms": 6.0, "cold_from": 0.2, "multiple": 2.0, "window_ms": 1500.0, "one_way_ms": 0.3},
     )
 
@@ -116,22 +118,26 @@
         load, out = start_load(
             site, "load", clients=48, seconds=seconds, seed=seed, deadline_ms=1500.0, writes=writes
         )
+        flood, flood_out = _start_flood(site, seed, seconds)
         script.play(load, seconds)
+        flood.wait(timeout=30)
         time.sleep(0.5)
-        notes, journal = read_notes(out), site.journal()
+        mine, flooded, journal = read_notes(out), read_notes(flood_out), site.journal()
+        notes = mine + flooded
         verdict = judge(notes, journal, script.told, Figures(budget=BUDGET))
         for node in site.nodes.values():
             if node.started and node.process.poll() is None:
                 verdict.cold_peaks[node.id] = site.stats(node.id)["peak"]
         left = {me: site.routers[me].poll() for me in range(layout.routers)}
     report = verdict.report()
-    answered = sum(n["outcome"] == "answered" for n in notes)
+    answered = sum(n["outcome"] == "answered" for n in mine)
     report |= {
         "drill": "bad-day",
         "seed": seed,
         "seconds": seconds,
         "broken on purpose": broken or None,
-        "answered share": round(answered / max(len(notes), 1), 4),
+        "answered share": round(answered / max(len(mine), 1), 4),
+        "flood": {"asked": len(flooded), "refused": sum(n["outcome"] == "53T01" for n in flooded)},
         "routers alive": all(code is None for code in left.values()),
     }
     kinds = {f"{n['effect']} {n['outcome']}" for n in notes}
@@ -141,6 +147,7 @@
         "keyed": "keyed answered" in kinds,
         "leavers": "safe left" in kinds,
         "cancels": any(e["ev"] == "cancel" for e in journal),
+        "flood": sum(n["outcome"] == "53T01" for n in flooded) > 100,
         "resets": any(e["ev"] == "reset" for e in journal),
         "cold": len(verdict.cold_peaks) >= 3,
     }
@@ -153,6 +160,23 @@
     return report
 
 
+def _start_flood(site: Site, seed: int, seconds: float) -> tuple[subprocess.Popen, Path]:
+    """Another tenant, from the first trouble to the last: clients that ask again at once when refused."""
+    return start_load(
+        site,
+        "flood",
+        user="t_flood",
+        clients=FLOOD,
+        seconds=seconds * 0.8,
+        seed=seed + 500,
+        think_ms=1.0,
+        deadline_ms=1500.0,
+        writes=0.0,
+        keyed=0.0,
+        leavers=0.0,
+    )
+
+
 def _write_day(script: Script, unit: float, stays: bool = False) -> None:
     site = script.site
     shard_0 = [1, 2, 3]  # cells 0, 1, 2
--- a/tansycrank/lab/measure_door.py
+++ b/tansycrank/lab/measure_door.py
@@ -20,24 +20,18 @@
 from tansycrank.lab.doorlab import Load, Play, Scene, jain
 from tansycrank.lab.engine import DISTRICTS
 from tansycrank.lab.measures import cpu_seconds, machine
-from tansycrank.lab.site import Layout, Site
+from tansycrank.lab.site import TENANT_RULES, Layout, Site
 from tansycrank.lab.tenants import TenantSpec, TenantsSpec
 
 ROOT = Path(__file__).parents[2]
 SMALL = 10  # tenants beside the one that floods
 CAPACITY = 140.0  # parts a second of the stand-in nodes below
 SHARE = CAPACITY / (SMALL + 1)
-RULES = """
-[tenant any]
-networks = 127.0.0.0/8
-users = t_(.*)
-tenant = {user}
-"""
 
 
 def _phase(seed: int, seconds: float, door: bool, groups: list[tuple[TenantSpec, ...]]) -> dict:
     """One site, one load; what each tenant got, and the router's CPU."""
-    more = RULES + ("" if door else "[door]\nenabled = off\n")
+    more = TENANT_RULES + ("" if door else "[door]\nenabled = off\n")
     nature = {"cores": 1, "work_ms": 40.0, "cached": True}
     layout = Layout(nodes=6, shards=6, seed=seed, nature=nature, log_queries=False, rules_more=more)
     with Site(layout) as site:
--- a/tansycrank/lab/site.py
+++ b/tansycrank/lab/site.py
@@ -85,6 +85,13 @@
 columns = {zone_columns}
 """
 
+TENANT_RULES = """
+[tenant any]
+networks = 127.0.0.0/8
+users = t_(.*)
+tenant = {user}
+"""  # a tenant for each user t_NAME
+
 
 @dataclass
 class Layout:
--- a/tests/e2e/test_door.py
+++ b/tests/e2e/test_door.py
@@ -9,7 +9,7 @@
 import psycopg
 import pytest
 
-from tansycrank.lab.measure_door import RULES
+from tansycrank.lab.site import TENANT_RULES as RULES
 from tansycrank.lab.site import Layout, Site
 
 NATURE = {"cores": 1, "work_ms": 60.0, "cached": True}
@@ -91,7 +91,8 @@
         for number in range(10):
             began = time.monotonic()
             try:
-                link.execute(f"SELECT id FROM trips WHERE district = '{DISTRICT}' AND id < {number}").fetchall()
+                where = f"district = '{DISTRICT}' AND id < {number}"
+                link.execute(f"SELECT id FROM trips WHERE {where}").fetchall()
                 mine.append(time.monotonic() - began)
             except psycopg.Error as problem:
                 mine.append(problem.sqlstate)
