--- a/tansycrank/lab/measure_door.py
+++ b/tansycrank/lab/measure_door.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import gc
+import os
 import subprocess
 import sys
 import time
-import tracemalloc
 from collections.abc import Callable
+from multiprocessing import get_context
 from pathlib import Path
 
 import msgspec
@@ -19,11 +20,13 @@
 from tansycrank.door.policy import Admit, Arrived, Ended, Limits, Policy, Settings, Tick
 from tansycrank.lab.doorlab import Load, Play, Scene, jain
 from tansycrank.lab.engine import DISTRICTS
-from tansycrank.lab.measures import cpu_seconds, machine
+from tansycrank.lab.measures import cpu_seconds, machine, memory
 from tansycrank.lab.site import TENANT_RULES, Layout, Site
 from tansycrank.lab.tenants import TenantSpec, TenantsSpec
 
 ROOT = Path(__file__).parents[2]
+MIB = 1 << 20
+MEMORY_BOUND = 64  # MiB that the door may add to the process
 SMALL = 10  # tenants beside the one that floods
 CAPACITY = 140.0  # parts a second of the stand-in nodes below
 SHARE = CAPACITY / (SMALL + 1)
@@ -137,37 +140,40 @@
             sample(number)
 
 
+def _memory_run(tenants: int, size: int) -> dict:
+    """In a process of its own: what the system counts for it, from before the first query on."""
+    policy, clock, points = Policy(Settings(useful=(1000.0,))), [0.0], []
+    gc.collect()
+    base = memory(os.getpid())
+
+    def sample(number: int) -> None:
+        points.append((number, round((memory(os.getpid()) - base) / MIB, 2)))
+
+    began = time.process_time()
+    _churn(policy, tenants, size, clock, sample)
+    used = time.process_time() - began
+    return {
+        "base_mib": round(base / MIB, 1),
+        "peak_over_base_mib": round((memory(os.getpid(), "VmHWM") - base) / MIB, 1),
+        "refused": sum(policy.counts[k] for k in ("line", "late", "full", "pushed")),
+        "tenants known": len(policy.tenants),
+        "places": policy.book.kept,
+        "cpu_us_a_query": round(used / size * 1e6, 1),
+        "points": points,
+    }
+
+
 def door_memory(seed: int = 1, quick: bool = False, say: Callable[[str], None] = print) -> dict:
     """Bytes the door holds through a million names and a million refusals: a flat line."""
-    size = 100_000 if quick else 1_000_000
+    size = 100_000 if quick else 1_100_000
     report: dict = {"measure": "door-memory", "seed": seed, "machine": machine(), "queries": size}
-    bound = 64.0
+    report["bound_mib"] = MEMORY_BOUND
     for kind, tenants in (("distinct tenants", size), ("refused queries of 50 tenants", 50)):
-        gc.collect()
-        tracemalloc.start()
-        policy, clock, points = Policy(Settings(useful=(1000.0,))), [0.0], []
-
-        def sample(number: int, points=points, policy=policy) -> None:
-            points.append((number, round(tracemalloc.get_traced_memory()[0] / 1e6, 2)))
-
-        began = time.process_time()
-        _churn(policy, tenants, size, clock, sample)
-        used = time.process_time() - began
-        peak = tracemalloc.get_traced_memory()[1] / 1e6
-        tracemalloc.stop()
-        report[kind] = {
-            "peak_mb": round(peak, 1),
-            "refused": sum(policy.counts[k] for k in ("line", "late", "full", "pushed")),
-            "tenants known": len(policy.tenants),
-            "places": policy.book.kept,
-            "cpu_us_a_query_traced": round(used / size * 1e6, 1),
-            "points": points,
-        }
-        say(f"{kind}: peak {peak:.1f} MB, {report[kind]['refused']} refused")
-        del policy
-    report["bound_mb"] = bound
+        with get_context("spawn").Pool(1) as pool:
+            report[kind] = pool.apply(_memory_run, (tenants, size))
+        say(f"{kind}: { {k: v for k, v in report[kind].items() if k != 'points'} }")
     kinds = [v for v in report.values() if isinstance(v, dict) and "points" in v]
-    report["held"] = all(k["peak_mb"] <= bound for k in kinds)
+    report["held"] = all(k["peak_over_base_mib"] <= MEMORY_BOUND for k in kinds)
     return report
 
 
@@ -291,8 +297,8 @@
             axes.plot([100 * e for e in found["errors"]], range(len(found["errors"])), label=name)
     if report["measure"] == "door-memory":
         axes.set_xlabel("queries")
-        axes.set_ylabel("MB held by the door")
-        axes.axhline(report["bound_mb"], color="grey", linestyle="--", label="bound")
+        axes.set_ylabel("MiB of the process beside what it began with")
+        axes.axhline(report["bound_mib"], color="grey", linestyle="--", label="bound")
         axes.set_ylim(0)
     else:
         axes.set_xlabel("promised beside real wait, error in percent")
