A kept place belongs to a session until it is due, then to whoever of the client asks

Need: in the drill many consoles of one user ask the same text; one refusal made all of them early. Change: places by query and session; the memory measurement's router takes as long as it takes.

--- a/tansycrank/door/fair.py
+++ b/tansycrank/door/fair.py
@@ -36,6 +36,7 @@
     returning: bool = False  # it was told to come back, and did
     repeat: bool = False
     light: bool = False  # it was let past the line
+    session: int = 0
     began: float = 0.0
 
 
--- a/tansycrank/door/gate.py
+++ b/tansycrank/door/gate.py
@@ -83,6 +83,7 @@
         mark: int = 0,
         size: int = 0,
         repeat: bool = False,
+        session: int = 0,
     ) -> Entry:
         """A query asks to be let in; `done` hears its one answer, perhaps before this returns."""
         self._ids += 1
@@ -94,7 +95,7 @@
         self._play(
             Arrived(
                 entry.id, asker.tenant, asker.client, query_class, parts, time_left, statement, mark, size,
-                repeat, asker.limits,
+                repeat, asker.limits, session,
             )
         )  # fmt: skip
         self._keep_beat()
@@ -105,11 +106,11 @@
         return self.policy is not None and self.policy.pressed(tenant)
 
     def glance(
-        self, asker: Asker, query_class: int, time_left: float, mark: int, repeat: bool
+        self, asker: Asker, query_class: int, time_left: float, mark: int, repeat: bool, session: int = 0
     ) -> PgError | None:
         """The refusal of a query whose turn is too far off whatever it is, None where it may not be."""
         number, who = self._ids + 1, (asker.tenant, asker.client)
-        event = Arrived(number, *who, query_class, 1, time_left, 0, mark, 0, repeat, asker.limits)
+        event = Arrived(number, *who, query_class, 1, time_left, 0, mark, 0, repeat, asker.limits, session)
         if not self.policy.hopeless(self.now, event):
             return None
         self._ids += 1
--- a/tansycrank/door/identity.py
+++ b/tansycrank/door/identity.py
@@ -84,6 +84,7 @@
     address: str
     user: str
     database: str
+    session: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +108,7 @@
         prefix6: int = 48,
     ) -> None:
         self.rules = tuple(rules)
-        self._known: dict[tuple[Caller, str], Asker] = {}
+        self._known: dict[tuple[str, str, str, str], Asker] = {}
         self.prefix = {4: prefix4, 6: prefix6}
         self._entry, self._allowing = Networks(), False
         for text in allow:
@@ -134,11 +135,12 @@
 
     def who(self, caller: Caller, claimed: str = "") -> Asker:
         """The tenant of a session, which sets `tansycrank.tenant` to what it claims. Kept for a while."""
-        if (caller, claimed) not in self._known:
+        key = caller.address, caller.user, caller.database, claimed
+        if key not in self._known:
             if len(self._known) >= KNOWN:
                 self._known.clear()
-            self._known[caller, claimed] = self._who(caller, claimed)
-        return self._known[caller, claimed]
+            self._known[key] = self._who(caller, claimed)
+        return self._known[key]
 
     def _who(self, caller: Caller, claimed: str) -> Asker:
         try:
--- a/tansycrank/door/policy.py
+++ b/tansycrank/door/policy.py
@@ -75,6 +75,7 @@
     size: int = 0
     repeat: bool = False
     limits: Limits = Limits()
+    session: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -290,8 +291,7 @@
                 victim = tenant
         if victim is None:
             return False
-        for mark in list(victim.account.places):
-            self.book.drop(victim.account, mark)
+        self.book.drop_all(victim.account)
         del self.tenants[victim.key]
         self.sketch.note(victim.key, max(victim.line.finish, victim.line.start))
         self.counts["forgotten"] += 1
@@ -377,20 +377,22 @@
             event.id, tenant.key, event.client, event.query_class, event.statement, event.parts, charge,
             event.size, now, leave_by, event.mark, False, event.repeat,
         )  # fmt: skip
+        ticket.session = event.session
         self.counts["arrived"] += 1
-        place, due = self.book.find(tenant.account, event.mark, now)
+        place, due = self.book.find(tenant.account, event.mark, event.session, now)
         if place is None and not event.repeat:
             tenant.arrived += 1
             tenant.asks(now, charge)
         ticket.returning = due
         if due:
+            self.book.take_up(tenant.account, place)
             self.counts["returned"] += 1
             tenant.returns.add(now, charge)
         light = self._light(charge)
         if self._room(tenant) or (light and self._under_ceiling(tenant, event.parts)):
             ticket.light = light
             if place is not None and not due:
-                self.book.drop(tenant.account, event.mark)
+                self.book.drop(tenant.account, place)
             self.root.pass_by(tenant.line, charge)
             self._admit(now, tenant, ticket)
         elif place is not None and not due:  # too early: the same time again, counted once
@@ -416,9 +418,9 @@
         if tenant is None or self._room(tenant):
             return False
         charge = self.costs.expect(event.query_class, event.statement, 1)
-        place = tenant.account.places.get(event.mark)
+        place, due = self.book.find(tenant.account, event.mark, event.session, now)
         if place is not None:
-            return now < self.book.opens(place)
+            return not due
         if self._light(charge):
             return False
         useful = self.settings.useful
@@ -462,7 +464,7 @@
             return now + (tenant.line.returning_charge + ticket.charge) / rate
         left = max(rate - tenant.returns.rate(now), LEFT * rate)
         due = now + (tenant.line.ahead(ticket.client) + ticket.charge) / left
-        if not tenant.line and not tenant.account.places:  # new in line: one turn of all at most
+        if not tenant.line and not tenant.account.count:  # new in line: one turn of all at most
             mean = self.charge / max(self.root.size, 1)
             due = min(due, now + (len(self.root.children) * mean + ticket.charge) / self.drain)
         return due
@@ -609,11 +611,12 @@
         corrected = ticket.returning
         due = max(self._due(now, tenant, ticket), now + hold_off)
         due = self.book.slot(now, due, ticket.charge, min(self.drain, 1e9))
-        if ticket.mark and ticket.mark in tenant.account.places:  # the same query, sent twice at once
-            due = tenant.account.places[ticket.mark].due
+        mark = ticket.mark or -ticket.id
+        place = tenant.account.places.get(mark, {}).get(ticket.session)
+        if place is not None:  # the same query of the same session, sent twice at once
+            due = place.due
         else:
-            mark = ticket.mark or -ticket.id
-            self.book.keep(tenant.account, tenant.key, mark, now, due, ticket.charge)
+            self.book.keep(tenant.account, tenant.key, mark, ticket.session, now, due, ticket.charge)
         tenant.refused += 1
         tenant.corrected += corrected
         tenant.wait = due - now
--- a/tansycrank/door/promises.py
+++ b/tansycrank/door/promises.py
@@ -21,25 +21,27 @@
 
 
 class Place:
-    """A kept place: when it is due, how long the wait was, what it will cost."""
+    """A kept place: of which query and session, when it is due, how long the wait was, what it will cost."""
 
-    __slots__ = ("due", "until", "charge", "wait", "told")
+    __slots__ = ("mark", "session", "due", "until", "charge", "wait", "kept")
 
-    def __init__(self, due: float, wait: float, charge: float, told: float) -> None:
-        self.due, self.wait, self.charge, self.told = due, wait, charge, told
+    def __init__(self, mark: int, session: int, due: float, wait: float, charge: float) -> None:
+        self.mark, self.session = mark, session
+        self.due, self.wait, self.charge, self.kept = due, wait, charge, True
         self.until = due + max(KEPT * wait, KEPT_LEAST)
 
 
 class Account:
     """The promises of one tenant."""
 
-    __slots__ = ("owed", "unnamed", "show", "places", "touched")
+    __slots__ = ("owed", "unnamed", "show", "places", "count", "touched")
 
     def __init__(self) -> None:
         self.owed = 0.0  # charge of places kept
         self.unnamed = 0.0  # charge promised without a place; it runs off at the tenant's pace
         self.show = 1.0  # share of reservations that are taken up
-        self.places: OrderedDict[int, Place] = OrderedDict()
+        self.places: dict[int, OrderedDict[int, Place]] = {}  # by query, then by session, the first due first
+        self.count = 0
         self.touched = 0.0
 
     def ahead(self, now: float, rate: float) -> float:
@@ -58,7 +60,8 @@
         self._filled = [0.0] * self.pages
         self._page = 0  # the number of the first page
         self._next: dict[int, int] = {}  # of closed pages, where to look on
-        self._expiry: list[tuple[float, str, int, Place]] = []
+        self._expiry: list[tuple[float, int, str, Place]] = []
+        self._number = 0
 
     def _turn(self, now: float) -> None:
         page = int(now / SPAN)
@@ -95,50 +98,73 @@
             self._next[one] = number
         return number
 
-    def keep(self, account: Account, tenant: str, mark: int, now: float, due: float, charge: float) -> bool:
+    def keep(
+        self, account: Account, tenant: str, mark: int, session: int, now: float, due: float, charge: float
+    ) -> bool:
         """Keep a place; False where the bound is reached or the time is too far."""
         if self.kept >= self.bound or due > now + self.pages * SPAN:
             account.unnamed += charge
             return False
-        place = Place(due, due - now, charge, now)
-        account.places[mark] = place
+        place = Place(mark, session, due, due - now, charge)
+        account.places.setdefault(mark, OrderedDict())[session] = place
         account.owed += charge
+        account.count += 1
         self.kept += 1
-        heapq.heappush(self._expiry, (place.until, tenant, mark, place))
+        self._number += 1
+        heapq.heappush(self._expiry, (place.until, self._number, tenant, place))
         return True
 
-    def find(self, account: Account, mark: int, now: float) -> tuple[Place | None, bool]:
-        """(the place of a query, whether it is due); one that is due is taken up."""
-        place = account.places.get(mark)
-        if place is None:
+    def find(self, account: Account, mark: int, session: int, now: float) -> tuple[Place | None, bool]:
+        """(the place of a query, whether it is due).
+
+        A place that is due is for whoever asks the same of the same client, on whatever session: pools change
+        them. Before that it is for the session that was told; the same text of another is another query.
+        """
+        same = account.places.get(mark)
+        if not same:
             return None, False
-        if now < self.opens(place):
-            return place, False
-        self.drop(account, mark)
+        first = next(iter(same.values()))
+        if now >= self.opens(first):
+            return first, True
+        return same.get(session), False
+
+    def take_up(self, account: Account, place: Place) -> None:
+        """Its client has come as told."""
+        self.drop(account, place)
         account.show += LEARN * (1.0 - account.show)
-        return place, True
 
     @staticmethod
     def opens(place: Place) -> float:
         """When a place may be taken up: a little before its time, for clocks differ."""
         return place.due - max(EARLY * place.wait, EARLY_LEAST)
 
-    def drop(self, account: Account, mark: int) -> None:
+    def drop(self, account: Account, place: Place) -> None:
         """A place is no longer needed."""
-        place = account.places.pop(mark, None)
-        if place is not None:
-            account.owed = max(account.owed - place.charge, 0.0) if account.places else 0.0
-            self.kept -= 1
+        if not place.kept:
+            return
+        place.kept = False
+        same = account.places[place.mark]
+        del same[place.session]
+        if not same:
+            del account.places[place.mark]
+        account.count -= 1
+        account.owed = max(account.owed - place.charge, 0.0) if account.count else 0.0
+        self.kept -= 1
+
+    def drop_all(self, account: Account) -> None:
+        """The tenant is forgotten."""
+        for same in list(account.places.values()):
+            for place in list(same.values()):
+                self.drop(account, place)
 
     def expire(self, now: float, accounts) -> None:
         """Let go of places nobody came for; `accounts(tenant)` finds an account or None."""
         while self._expiry and self._expiry[0][0] <= now:
-            _, tenant, mark, place = heapq.heappop(self._expiry)
+            _, _, tenant, place = heapq.heappop(self._expiry)
             account = accounts(tenant)
-            if account is not None and account.places.get(mark) is place:
-                self.drop(account, mark)
+            if place.kept and account is not None:
+                self.drop(account, place)
                 account.show -= LEARN * account.show
         if len(self._expiry) > 2 * self.kept + 1024:  # danger: taken places would stay in the heap
-            alive = [e for e in self._expiry if (a := accounts(e[1])) and a.places.get(e[2]) is e[3]]
-            heapq.heapify(alive)
-            self._expiry = alive
+            self._expiry = [entry for entry in self._expiry if entry[3].kept]
+            heapq.heapify(self._expiry)
--- a/tansycrank/door/views.py
+++ b/tansycrank/door/views.py
@@ -32,7 +32,7 @@
         values = (
             t.key, t.line.size, t.inside, rate, f"{limits.weight:g}", f"{limits.min_share:g}",
             f"{limits.max_share:g}", f"{limits.burst:g}", t.arrived, t.admitted, t.answered, t.refused,
-            t.corrected, t.early, t.left, len(t.account.places), f"{t.account.show:.2f}", f"{t.wait:.0f}",
+            t.corrected, t.early, t.left, t.account.count, f"{t.account.show:.2f}", f"{t.wait:.0f}",
         )  # fmt: skip
         rows.append(tuple(str(value) for value in values))
     return rows
--- a/tansycrank/lab/drills.py
+++ b/tansycrank/lab/drills.py
@@ -15,6 +15,11 @@
 from tansycrank.lab.site import TENANT_RULES, Layout, Site
 
 Say = Callable[[str], None]
+CONSOLES = """
+[tenant consoles]
+users = demo
+min_share = 0.7
+"""  # the tenant of the day's own load
 FLOOD = 60  # clients of the tenant that floods
 BUDGET = (10.0, 0.2, 2000.0)
 
@@ -92,7 +97,7 @@
         cold_ms=5000,
         budget=BUDGET,
         scale=0.25,
-        rules_more=TENANT_RULES,
+        rules_more=TENANT_RULES + CONSOLES,
         nature={"work_ms": 6.0, "cold_from": 0.2, "multiple": 2.0, "window_ms": 1500.0, "one_way_ms": 0.3},
     )
 
--- a/tansycrank/lab/measure_door.py
+++ b/tansycrank/lab/measure_door.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import time
+from collections import deque
 from collections.abc import Callable
 from multiprocessing import get_context
 from pathlib import Path
@@ -122,20 +123,17 @@
 
 def _churn(policy: Policy, tenants: int, queries: int, clock: list[float], sample: Callable) -> None:
     """So many queries from so many names, into a router that does a thousand a second."""
-    inside: list[int] = []
+    inside: deque[tuple[int, float]] = deque()  # a thousand a second are done, in their order
     every = max(queries // 40, 1)
     for number in range(queries):
         clock[0] += 0.05
         name = f"tenant-{number % tenants}"
         event = Arrived(number, name, f"{name}/x", 0, 1, 1000.0, 1, number + 1, 200)
-        for action in policy.step(clock[0], [event]):
-            if isinstance(action, Admit):
-                inside.append(action.id)
+        actions = policy.step(clock[0], [event])
         if number % 20 == 0 and inside:
-            done = inside.pop(0)
-            for action in policy.step(clock[0], [Ended(done, "answered", 20.0), Tick()]):
-                if isinstance(action, Admit):
-                    inside.append(action.id)
+            done, began = inside.popleft()
+            actions += policy.step(clock[0], [Ended(done, "answered", clock[0] - began), Tick()])
+        inside.extend((action.id, clock[0]) for action in actions if isinstance(action, Admit))
         if number % every == 0:
             sample(number)
 
--- a/tansycrank/pg/server.py
+++ b/tansycrank/pg/server.py
@@ -325,6 +325,7 @@
         self.state = "ready"
         self._frames = pg.Frames(self.limits.max_message, pg.FRONTEND_TYPES)
         self.pid, self.secret = self.factory.key(self)
+        self.caller = replace(self.caller, session=self.pid)
         out = [pg.AUTHENTICATION_OK]
         out += [pg.parameter_status(shown, self.settings[name]) for name, shown in REPORTED.items()]
         out += [pg.backend_key(self.pid, self.secret), pg.ready("I")]
--- a/tansycrank/router/service.py
+++ b/tansycrank/router/service.py
@@ -242,7 +242,8 @@
                 break
         mark = self._mark(asker, sql, ())
         repeat = settings.get("tansycrank.repeat") in ("on", "true")
-        return self.gate.glance(asker, 3 * index + SAFE, self._time_left(index, settings), mark, repeat)
+        time_left = self._time_left(index, settings)
+        return self.gate.glance(asker, 3 * index + SAFE, time_left, mark, repeat, caller.session)
 
     def _mark(self, asker: Asker, sql: str, values: tuple[bytes | None, ...]) -> int:
         held = xxhash.xxh3_64(f"{asker.tenant}|{asker.client}|{sql.rstrip('; ')}".encode())
@@ -269,6 +270,7 @@
                 mark=self._mark(asker, sql, request.values),
                 size=size,
                 repeat=settings.get("tansycrank.repeat") in ("on", "true"),
+                session=request.caller.session,
             )
         )
 
--- a/tests/door/test_machine.py
+++ b/tests/door/test_machine.py
@@ -106,7 +106,9 @@
         assert policy.bytes == sum(t.size for t in policy.waiting.values()) <= BOUNDS.bytes
         assert policy.parts == sum(t.parts for t in policy.inside.values())
         assert 0 <= policy.book.kept <= BOUNDS.places
-        assert policy.book.kept == sum(len(t.account.places) for t in policy.tenants.values())
+        assert policy.book.kept == sum(t.account.count for t in policy.tenants.values())
+        for tenant in policy.tenants.values():
+            assert tenant.account.count == sum(map(len, tenant.account.places.values()))
 
     @invariant()
     def lines_add_up(self):
--- a/tests/door/test_policy.py
+++ b/tests/door/test_policy.py
@@ -203,6 +203,18 @@
     assert (tenant.arrived, tenant.account.owed) == (arrived, owed)
 
 
+def test_the_same_text_of_another_session_is_another_query():
+    world = World().load(3, {"a": 900})
+    mark, wait = turned_away(world, 10_000)
+    early, other = world.ask("a", mark=mark), world.ask("a", mark=mark, session=2)
+    assert world.refused[early].reason == "early"
+    assert other not in world.refused or world.refused[other].reason != "early"
+    world.load(wait / 1000, {"a": 900})
+    again = world.ask("a", mark=mark, session=3)  # a pool gives it another session: its place is good
+    world.run(world.now + 700)
+    assert again in world.admitted and world.policy.counts["returned"] >= 1
+
+
 def test_repeats_that_the_client_marks_are_no_demand():
     world = World().load(2, {"a": 900})
     tenant = world.policy.tenants["a"]
@@ -333,7 +345,7 @@
     world.running.clear()
     world.play(Ended(number, "refused", 3.0, hold_off=700.0))
     assert world.refused[number].reason == "module" and world.refused[number].wait >= 700.0
-    assert len(world.policy.tenants["a"].account.places) == 1
+    assert world.policy.tenants["a"].account.count == 1
 
 
 def test_a_stall_of_the_router_is_no_sign_of_slow_nodes():
