Stand-in store keeps its promise of keys across nodes when word between them is late

Found by the drill on a loaded machine: a keyed write was repeated at another replica before the first had told of it, and the stand-in applied both. The router's second send was within the window the store promises.

--- a/tansycrank/lab/node.py
+++ b/tansycrank/lab/node.py
@@ -9,10 +9,12 @@
 
 import os
 import sys
+import time
 from collections import deque
 
 import msgspec
 import pglast
+import xxhash
 from twisted.internet import reactor
 from twisted.internet.protocol import ClientFactory
 from twisted.protocols.basic import LineOnlyReceiver, LineReceiver
@@ -48,6 +50,7 @@
     nature: dict = {}
     peers: dict[int, list[int]] = {}  # shard: control ports of the other holders
     dedup_ms: float = 5000.0
+    claims: str = ""  # a folder that all nodes share: the store's memory of keys
 
 
 class Node:
@@ -135,13 +138,35 @@
 
     # --- writes -----------------------------------------------------------------------
 
-    def apply(self, write: dict) -> str:
-        """Run a write here; a repeated key in its window runs nothing. Returns the tag."""
+    def _claim(self, key: str) -> bool:
+        """Whether no holder of the shard has run this key in its window.
+
+        The store promises that for all its nodes; word from node to node alone could come after the repeat.
+        """
+        if not self.spec.claims:
+            return True
+        path = os.path.join(self.spec.claims, f"key-{xxhash.xxh3_64_hexdigest(key.encode())}")
+        try:
+            os.close(os.open(path, os.O_CREAT | os.O_EXCL | os.O_WRONLY))
+            return True
+        except FileExistsError:
+            if time.time() - os.stat(path).st_mtime < self.spec.dedup_ms / 1000:
+                return False
+            os.utime(path)
+            return True
+
+    def apply(self, write: dict, mine: bool = False) -> str:
+        """Run a write here; a repeated key in its window runs nothing. Returns the tag.
+
+        `mine`: a client sent it; else another holder tells of it.
+        """
         key = write["key"]
         if key:
             known = self.keys.get(key)
             if known is not None and self.now - known[0] < self.spec.dedup_ms:
                 return known[1]
+            if mine and not self._claim(key):
+                return "INSERT 0 1" if write["sql"].lstrip().upper().startswith("INSERT") else "UPDATE 1"
         values = [
             to_engine(oid, types.decode(oid, 0, v.encode()) if v is not None else None)
             for oid, v in zip(write["oids"], write["values"], strict=True)
@@ -422,7 +447,7 @@
             "oids": [o or types.TEXT for o in oids],
         }
         before = len(self.node.writes)
-        tag = self.node.apply(write)
+        tag = self.node.apply(write, mine=True)
         self.node.counts["writes"] += len(self.node.writes) - before
         self.node.note(
             "write", self, key=key, applied=len(self.node.writes) > before, sql=sql[:300], values=texts[:9]
--- a/tansycrank/lab/site.py
+++ b/tansycrank/lab/site.py
@@ -264,6 +264,7 @@
             "scale": layout.scale,
             "dedup_ms": layout.dedup_ms,
             "peers": peers,
+            "claims": str(self.folder),
             "nature": {"cold_ms": layout.cold_ms, **layout.nature},
         }
         node.process = self._python("tansycrank.lab.node", msgspec.json.encode(spec).decode())
