--- a/tansycrank/lab/measure_door.py
+++ b/tansycrank/lab/measure_door.py
@@ -224,7 +224,7 @@
 
 def door_size(seed: int = 1, quick: bool = False, say: Callable[[str], None] = print) -> dict:
     """40 routers, 135 nodes, 5,000 tenants in simulated time, with the module; CPU a decision."""
-    routers, nodes, tenants, seconds = (8, 27, 1000, 5.0) if quick else (40, 135, 5000, 8.0)
+    routers, nodes, tenants, seconds = (8, 27, 1000, 5.0) if quick else (40, 135, 5000, 14.0)
     small = [f"t{n}" for n in range(tenants - 1)]
     rate = 0.55 * nodes * 4 * 10 / len(small)
     report: dict = {"measure": "door-size", "seed": seed, "simulated": True, "machine": machine()}
