--- a/tests/e2e/test_door.py
+++ b/tests/e2e/test_door.py
@@ -123,12 +123,19 @@
     for number, link in enumerate(links):
         link.pgconn.send_query(f"SELECT count(*), sum(fare) FROM trips WHERE id <> {number}".encode())
     with connect(slow, "t_crowd") as link:
-        timer = threading.Timer(0.05, link.cancel)
-        timer.start()
+        over = threading.Event()
+
+        def cancel():  # again and again: one that comes between two statements hits none
+            while not over.wait(0.03):
+                link.cancel()
+
+        canceller = threading.Thread(target=cancel)
+        canceller.start()
         with pytest.raises((psycopg.errors.QueryCanceled, psycopg.Error)) as problem:
             for number in range(20):
                 link.execute(f"SELECT count(*) FROM trips WHERE id <> {1000 + number}")
-        timer.join()
+        over.set()
+        canceller.join()
         assert problem.value.sqlstate in ("57014", "53T01")
     for link in links:
         link.close()
