One place for what the door and its neighbours had written twice; dead pieces out

The class of a statement, a client's mark of a repeat, the time an answer is of use, the wait in a refusal, the words of a cancel, the bound on least shares and the carrying out of a roster's list stood in two or more places each. Turns kept lanes beside the level that holds them, and an answer of a look that was always no. Unused fields and parameters are gone.

--- a/tansycrank/config.py
+++ b/tansycrank/config.py
@@ -19,7 +19,7 @@
 
 from tansycrank import interface as io
 from tansycrank.door.identity import PLACES, Identity, Rule, read_network
-from tansycrank.door.policy import Limits, Policy
+from tansycrank.door.policy import MOST_PROMISED, Limits, Policy
 from tansycrank.door.policy import Settings as DoorSettings
 from tansycrank.pg import types
 
@@ -480,11 +480,11 @@
     for key in ("allow", "deny", "operators"):
         _networks(path, "door", key, getattr(door, key))
     promised = sum(rule.limits.min_share for rule in rules)
-    if promised > 0.9:
+    if promised > MOST_PROMISED:
         last = rules[-1]
         raise ConfigError(
             path, f"tenant {last.name}", "min_share", str(last.limits.min_share),
-            f"all least shares together at most 0.9, these are {promised:g}",
+            f"all least shares together at most {MOST_PROMISED:g}, these are {promised:g}",
         )  # fmt: skip
 
 
--- a/tansycrank/door/fair.py
+++ b/tansycrank/door/fair.py
@@ -30,13 +30,11 @@
     parts: int
     charge: float
     size: int
-    arrived: float
     leave_by: float  # the last moment at which its turn would still be of use
     mark: int = 0  # what tells this query from others of its client
+    session: int = 0
     returning: bool = False  # it was told to come back, and did
-    repeat: bool = False
     light: bool = False  # it was let past the line
-    session: int = 0
     began: float = 0.0
 
 
@@ -53,11 +51,9 @@
     def __bool__(self) -> bool:
         return bool(self.line)
 
-    def add(self, ticket: Ticket, first: bool = False) -> None:
+    def add(self, ticket: Ticket) -> None:
         """Put a query in the line."""
         self.line[ticket.id] = ticket
-        if first:
-            self.line.move_to_end(ticket.id, last=False)
 
     def take(self) -> Ticket:
         """The first query; the line is not empty."""
@@ -141,12 +137,11 @@
         else:
             self._forget(key, child)
 
-    def park(self) -> tuple[object, Level | Lane]:
+    def park(self) -> None:
         """Take the first child out of the line without service; `enter` brings it back to its old place."""
-        _, _, key, child = heapq.heappop(self._heap)
+        _, _, _, child = heapq.heappop(self._heap)
         child.queued = False
         child.finish = max(child.finish, child.start)
-        return key, child
 
     def tidy(self) -> None:
         """Forget empty children once they outnumber the busy ones: those who came and left at once."""
--- a/tansycrank/door/gate.py
+++ b/tansycrank/door/gate.py
@@ -13,7 +13,7 @@
 
 from tansycrank.door.identity import Asker
 from tansycrank.door.policy import Admit, Arrived, Changed, Ended, Left, Limits, Policy, Refuse, Tick, Wake
-from tansycrank.pg.errors import FAILED, QUERY_CANCELED, REFUSED, PgError
+from tansycrank.pg.errors import FAILED, QUERY_CANCELED, REFUSED, PgError, cancelled, retry_after
 
 BEAT = 0.05  # seconds between two looks while anything is open
 TOLD = 1000  # tenants counted between two log lines
@@ -137,7 +137,7 @@
             cancel(entry.running)
             return
         self._play(Left(entry.id))
-        self._finish(entry, PgError(QUERY_CANCELED, "canceling statement due to user request"))
+        self._finish(entry, cancelled())
 
     def change(self, tenant: str, limits: Limits) -> None:
         """An operator gives a tenant other limits."""
@@ -196,8 +196,7 @@
                 outcome.state, "failed"
             )
             if kind == "refused":
-                found = outcome.detail.partition("retry_after_ms=")[2].split(" ")[0]
-                hold_off = float(found or 0)
+                hold_off = retry_after(outcome.detail)
         self._play(Ended(entry.id, kind, self.now - entry.began, hold_off))
         self._finish(entry, outcome)  # where it was refused it has been answered by now
 
--- a/tansycrank/door/policy.py
+++ b/tansycrank/door/policy.py
@@ -137,6 +137,9 @@
     at: float
 
 
+MOST_PROMISED = 0.9  # of the router that all least shares together may be
+
+
 class Sketch:
     """The finish tags of tenants forgotten, never told too early by more than a collision allows.
 
@@ -370,14 +373,12 @@
     def _arrived(self, now: float, event: Arrived) -> None:
         tenant = self._tenant(now, event.tenant, event.limits)
         charge = self.costs.expect(event.query_class, event.statement, event.parts)
-        useful = self.settings.useful
-        left = min(event.time_left, useful[event.query_class]) if useful else event.time_left
-        leave_by = now + left - self.costs.needs(event.query_class, event.statement) - self.limit.wait
+        needs = self.costs.needs(event.query_class, event.statement) + self.limit.wait
+        leave_by = now + self._useful(event) - needs
         ticket = Ticket(
             event.id, tenant.key, event.client, event.query_class, event.statement, event.parts, charge,
-            event.size, now, leave_by, event.mark, False, event.repeat,
+            event.size, leave_by, event.mark, event.session,
         )  # fmt: skip
-        ticket.session = event.session
         self.counts["arrived"] += 1
         place, due = self.book.find(tenant.account, event.mark, event.session, now)
         if place is None and not event.repeat:
@@ -404,6 +405,11 @@
         elif self._fits(now, tenant, ticket):
             self._enter(tenant, ticket)
 
+    def _useful(self, event: Arrived) -> float:
+        """Ms for which an answer is worth something."""
+        useful = self.settings.useful
+        return min(event.time_left, useful[event.query_class]) if useful else event.time_left
+
     def pressed(self, key: str) -> bool:
         """Whether a new query of this tenant could be turned away."""
         tenant = self.tenants.get(key)
@@ -423,9 +429,8 @@
             return not due
         if self._light(charge):
             return False
-        useful = self.settings.useful
-        left = min(event.time_left, useful[event.query_class]) if useful else event.time_left
-        ticket = Ticket(0, tenant.key, event.client, event.query_class, 0, 1, charge, 0, now, now + left)
+        leave_by = now + self._useful(event)
+        ticket = Ticket(0, tenant.key, event.client, event.query_class, 0, 1, charge, 0, leave_by)
         return self._turn(now, tenant, ticket) > ticket.leave_by
 
     def _light(self, charge: float) -> bool:
--- a/tansycrank/door/turns.py
+++ b/tansycrank/door/turns.py
@@ -20,8 +20,8 @@
 
     id: int
 
-    def look(self) -> bool:
-        """Look at what waits, one step; tells whether more can be done now."""
+    def look(self) -> None:
+        """Look at what waits."""
 
 
 class Turns:
@@ -30,59 +30,46 @@
     def __init__(self, soon: Callable[[Callable[[], None]], object], clock: Callable[[], float]) -> None:
         self._soon, self._clock = soon, clock
         self._level = Level()
-        self._lanes: dict[str, Lane] = {}
         self._used = 0.0
         self._called = False
 
     def wake(self, reader: Reader, tenant: str) -> None:
         """A session has messages: they are looked at now where this turn has time, else by turns."""
         if not self._level and self._used < SLICE:
-            lane = self._lanes.get(tenant) or Lane()
-            began = self._clock()
-            more = reader.look()
-            took = max(self._clock() - began, 0.0)
-            self._used += took
-            self._level.pass_by(lane, took)
-            if more:
-                self._add(reader, tenant, lane)
+            self._used += self._spend(reader)
         else:
-            self._add(reader, tenant, self._lanes.get(tenant) or Lane())
+            lane = self._level.children.get(tenant)
+            if lane is None:
+                lane = Lane()
+            if reader.id not in lane.line:
+                lane.add(reader)
+                self._level.size += 1
+            self._level.enter(tenant, lane)
         if not self._called:
             self._called = True
             self._soon(self._turn)
 
-    def _add(self, reader: Reader, tenant: str, lane: Lane) -> None:
-        if reader.id not in lane.line:
-            lane.line[reader.id] = reader
-            self._level.size += 1
-        self._lanes[tenant] = lane
-        self._level.enter(tenant, lane)
+    def _spend(self, reader: Reader) -> float:
+        """Let it look; the seconds that took."""
+        began = self._clock()
+        reader.look()
+        return max(self._clock() - began, 0.0)
 
     def forget(self, reader: Reader, tenant: str) -> None:
         """A session has ended."""
-        lane = self._lanes.get(tenant)
+        lane = self._level.children.get(tenant)
         if lane is not None and lane.line.pop(reader.id, None) is not None:
             self._level.size -= 1
             self._level.tidy()
-            if not lane:
-                del self._lanes[tenant]
 
     def _turn(self) -> None:
         self._called, self._used = False, 0.0
         while self._used < SLICE and (found := self._level.first()) is not None:
-            tenant, lane = found
-            reader = lane.take()
+            reader = found[1].take()
             self._level.size -= 1
-            began = self._clock()
-            more = reader.look()
-            took = max(self._clock() - began, 1e-6)
+            took = max(self._spend(reader), 1e-6)
             self._used += took
-            if more and reader.id not in lane.line:
-                lane.line[reader.id] = reader
-                self._level.size += 1
             self._level.serve(took)
-            if not lane:
-                self._lanes.pop(tenant, None)
         if self._level and not self._called:
             self._called = True
             self._soon(self._turn)
--- a/tansycrank/door/views.py
+++ b/tansycrank/door/views.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from tansycrank.door.gate import Gate
-from tansycrank.door.policy import Limits
+from tansycrank.door.policy import MOST_PROMISED, Limits
 from tansycrank.pg.errors import INVALID_PARAMETER, PgError
 
 SHOWN = 200  # tenants in one view, those with most in line and refused first
@@ -17,7 +17,12 @@
     "last_wait_ms",
 )  # fmt: skip
 KEYS = {"weight": "weight", "min_share": "min_share", "max_share": "max_share", "burst_ms": "burst"}
-BOUNDS = {"weight": (1e-3, 1000), "min_share": (0, 0.9), "max_share": (1e-3, 1), "burst_ms": (0, 1e6)}
+BOUNDS = {
+    "weight": (1e-3, 1000),
+    "min_share": (0, MOST_PROMISED),
+    "max_share": (1e-3, 1),
+    "burst_ms": (0, 1e6),
+}
 
 
 def tenants(gate: Gate) -> list[tuple[str, ...]]:
@@ -91,8 +96,9 @@
     if new.min_share > new.max_share:
         raise PgError(INVALID_PARAMETER, f"tansycrank.limits: min_share {new.min_share:g} above max_share")
     total = new.min_share + sum(t.limits.min_share for t in gate.policy.tenants.values() if t.key != tenant)
-    if total > 0.9:
+    if total > MOST_PROMISED:
         raise PgError(
-            INVALID_PARAMETER, f"tansycrank.limits: least shares would be {total:g} in all, at most 0.9"
+            INVALID_PARAMETER,
+            f"tansycrank.limits: least shares would be {total:g} in all, at most {MOST_PROMISED:g}",
         )
     gate.change(tenant, new)
--- a/tansycrank/lab/bulk.py
+++ b/tansycrank/lab/bulk.py
@@ -19,6 +19,7 @@
 from tansycrank.lab.process import listen, serve
 from tansycrank.pg import messages as pg
 from tansycrank.pg import types
+from tansycrank.pg.errors import cancelled
 
 ID_BASE, GROUP_BASE, STEP = 10**9, 10**7, 16
 ROWS_A_BLOCK = 1500
@@ -198,7 +199,7 @@
     def cancel(self) -> None:
         """Stop the rows."""
         if self.source is not None:
-            self._end(pg.error_response(pg.PgError("57014", "canceling statement due to user request")))
+            self._end(pg.error_response(cancelled()))
 
 
 SESSIONS: dict[int, BulkSession] = {}
--- a/tansycrank/lab/doorlab.py
+++ b/tansycrank/lab/doorlab.py
@@ -9,15 +9,13 @@
 
 import random
 import time
-from dataclasses import dataclass, field
-
-import xxhash
+from dataclasses import dataclass, field, replace
 
 from tansycrank import interface as io
 from tansycrank.door.identity import Asker
 from tansycrank.door.policy import Limits, Policy, Settings
 from tansycrank.lab.simulated import SimClock, SimNode, SimRouter
-from tansycrank.pg.errors import PgError
+from tansycrank.pg.errors import REFUSED, PgError, retry_after
 
 TRIES = 6  # times a patient client comes back for one query
 AIM = 1000.0
@@ -105,7 +103,7 @@
         self.routers = []
         for me in range(scene.routers):
             policy = Policy(scene.bounds) if scene.door else None
-            mine = io.Settings(**{f: getattr(settings, f) for f in settings.__slots__} | {"me": me})
+            mine = replace(settings, me=me)
             self.routers.append(SimRouter(self.clock, mine, scene.seed + me, self.nodes, policy))
         self.tallies = {load.name: Tally() for load in scene.loads}
         self.promises: list[Promise] = []
@@ -150,9 +148,9 @@
         self._marks += 1
         router = self.routers[self.chance.randrange(len(self.routers))]
         asker = Asker(load.name, f"{load.name}/{self.chance.randrange(load.clients)}", load.limits)
-        self._ask(load, router, asker, self._marks, now, None, 0)
+        self._ask(load, router, asker, self._marks, None, 0)
 
-    def _ask(self, load, router, asker, mark: int, first: float, promise: Promise | None, tries: int) -> None:
+    def _ask(self, load, router, asker, mark: int, promise: Promise | None, tries: int) -> None:
         scene, sent = self.scene, self.clock.seconds()
         tally = self.tallies[load.name]
         start = self.chance.randrange(scene.shards)
@@ -165,9 +163,9 @@
                 tally.in_aim += (now - sent) * 1000 <= AIM
                 tally.charge += load.parts
                 tally.latency.append((now - sent) * 1000)
-            elif isinstance(outcome, PgError) and outcome.state == "53T01":
-                wait = float(outcome.detail.partition("retry_after_ms=")[2].split(" ")[0] or 0)
-                self._turned_away(load, router, asker, mark, first, promise, tries, wait, len(entered) > 0)
+            elif isinstance(outcome, PgError) and outcome.state == REFUSED:
+                wait = retry_after(outcome.detail)
+                self._turned_away(load, router, asker, mark, promise, tries, wait)
                 return
             else:
                 tally.given_up += 1
@@ -184,7 +182,7 @@
             promise.took = entered[0].began - promise.at
             promise.first = tries == 1
 
-    def _turned_away(self, load, router, asker, mark, first, promise, tries, wait, waited) -> None:
+    def _turned_away(self, load, router, asker, mark, promise, tries, wait) -> None:
         now = self.clock.seconds()
         self.tallies[load.name].refusals += 1
         if promise is None and self.scene.door:
@@ -197,7 +195,7 @@
             self.tallies[load.name].given_up += 1
             return
         delay = wait if load.manner == "patient" else 0.02
-        again = (load, router, asker, mark, first, promise, tries + 1)
+        again = (load, router, asker, mark, promise, tries + 1)
         self.clock.callLater(delay / 1000, self._ask, *again)
 
     def _shadow(self, load: Load, router: SimRouter, promise: Promise) -> None:
@@ -247,7 +245,3 @@
     total, squares = sum(got), sum(x * x for x in got)
     return total * total / (len(got) * squares) if squares else 0.0
 
-
-def mark_of(*words: object) -> int:
-    """A mark that tells one query from another."""
-    return xxhash.xxh3_64_intdigest("|".join(map(str, words)).encode()) | 1
--- a/tansycrank/lab/measure_door.py
+++ b/tansycrank/lab/measure_door.py
@@ -91,8 +91,7 @@
     """One tenant at a hundred times its share beside ten others, on real sockets."""
     seconds = 6.0 if quick else 12.0
     base = 0.6 * SHARE
-    flood = tuple(TenantSpec("t_big", 25 * SHARE, 40, "never") for _ in range(1))
-    floods = [(msgspec.structs.replace(one),) for one in flood * 4]  # four processes: 100 shares in all
+    floods = [(TenantSpec("t_big", 25 * SHARE, 40, "never"),)] * 4  # four processes: 100 shares in all
     phases = {
         "without the flood": (True, [_small(base)]),
         "full load, no flood": (True, [_small(2 * SHARE)]),
--- a/tansycrank/lab/node.py
+++ b/tansycrank/lab/node.py
@@ -25,7 +25,7 @@
 from tansycrank.lab.process import listen, serve
 from tansycrank.pg import messages as pg
 from tansycrank.pg import types
-from tansycrank.pg.errors import PgError
+from tansycrank.pg.errors import PgError, cancelled
 from tansycrank.router.links import REQUEST_KEY
 from tansycrank.sql.infer import parameter_types
 from tansycrank.sql.planner import split_comment
@@ -318,7 +318,7 @@
             self.job = None
             self.node.counts["cancelled"] += 1
             self._send(
-                pg.error_response(PgError("57014", "canceling statement due to user request")) + pg.ready("I")
+                pg.error_response(cancelled()) + pg.ready("I")
             )
             self._next()
 
@@ -336,7 +336,7 @@
         faults, model = self.node.model.faults, self.node.model
         if self.cancelled:
             self._send(
-                pg.error_response(PgError("57014", "canceling statement due to user request")) + pg.ready("I")
+                pg.error_response(cancelled()) + pg.ready("I")
             )
             self._next()
             return
--- a/tansycrank/pg/errors.py
+++ b/tansycrank/pg/errors.py
@@ -58,6 +58,17 @@
         return self.state[:2] in QUERYS_OWN_FAULT
 
 
+def cancelled() -> PgError:
+    """The end of a statement that its client cancelled, in PostgreSQL's words."""
+    return PgError(QUERY_CANCELED, "canceling statement due to user request")
+
+
+def retry_after(detail: str) -> float:
+    """The ms that a refusal's DETAIL tells to wait; 0 where it tells none."""
+    found = detail.partition("retry_after_ms=")[2].split(" ")[0]
+    return float(found or 0)
+
+
 def unsupported(construct: str, hint: str = "") -> PgError:
     """The refusal of a statement whose parts can't be merged exactly; it names the construct."""
     return PgError(FEATURE_NOT_SUPPORTED, f"not supported over several shards: {construct}", hint=hint)
--- a/tansycrank/pg/server.py
+++ b/tansycrank/pg/server.py
@@ -30,7 +30,6 @@
     LIMIT_EXCEEDED,
     NO_SUCH_PORTAL,
     NO_SUCH_STATEMENT,
-    QUERY_CANCELED,
     READ_ONLY,
     SHUTTING_DOWN,
     SYNTAX_ERROR,
@@ -39,6 +38,7 @@
     UNDEFINED_OBJECT,
     PgError,
     ProtocolError,
+    cancelled,
 )
 from tansycrank.router.service import NOBODY, Request, Running, Service
 from tansycrank.sql.local import SERVER_VERSION
@@ -236,10 +236,9 @@
         """What tells it from other sessions."""
         return self.pid
 
-    def look(self) -> bool:
+    def look(self) -> None:
         """Its turn has come: handle what waits."""
         self.advance()
-        return False
 
     def _tenant(self) -> str:
         return self.service.identity.who(self.caller, self.settings.get("tansycrank.tenant", "")).tenant
@@ -570,7 +569,7 @@
         if self._running is not None:
             self.service.cancel(self._running)
         elif self._emission is not None and self._emission.result.stream is not None:
-            problem = PgError(QUERY_CANCELED, "canceling statement due to user request")
+            problem = cancelled()
             self._emission.result.stream.stop(problem)
 
     def _local(self, command: Local) -> list[bytes]:
--- a/tansycrank/roster/feed.py
+++ b/tansycrank/roster/feed.py
@@ -53,17 +53,37 @@
         self.feed.play(view.Lost())
 
 
-class RosterFeed:
-    """Carries out what the view decides."""
+class _Roster:
+    """Carries out what the view decides of a list, wherever the list comes from."""
 
     def __init__(
         self, reactor, config: Config, pools, tell: Callable[[io.ServerList], None], log=None
     ) -> None:
         section = config.roster
         self.reactor, self.pools, self.tell, self.log = reactor, pools, tell, log
+        self.view = view.RosterView(config.zones, config.store.cells, section.silence_ms, section.max_nodes)
+
+    def carry_out(self, action: object) -> None:
+        """A list, or where its nodes are; other actions are passed over."""
+        match action:
+            case view.Tell(told):
+                self.tell(told)
+            case view.Place(server, host, port):
+                self.pools.place(server, host, port)
+            case view.Forget(server):
+                self.pools.forget(server)
+
+
+class RosterFeed(_Roster):
+    """A feed over TCP."""
+
+    def __init__(
+        self, reactor, config: Config, pools, tell: Callable[[io.ServerList], None], log=None
+    ) -> None:
+        super().__init__(reactor, config, pools, tell, log)
+        section = config.roster
         self.host, _, port = section.feed.partition(":")
         self.port, self.limit = int(port), section.max_line
-        self.view = view.RosterView(config.zones, config.store.cells, section.silence_ms, section.max_nodes)
         self.protocol: _FeedProtocol | None = None
         self._tick = None
 
@@ -83,6 +103,7 @@
     def play(self, event: object) -> None:
         """One event, and what follows from it."""
         for action in self.view.step(self.reactor.seconds() * 1000, [event]):
+            self.carry_out(action)
             match action:
                 case view.Connect():
                     self.reactor.connectTCP(self.host, self.port, _FeedFactory(self, self.limit), timeout=2)
@@ -95,13 +116,8 @@
                         line = msgspec.json.encode({"op": op, "version": version, "epoch": epoch})
                         self.protocol.sendLine(line)
                 case view.Tell(told):
-                    self.tell(told)
                     if self.log and told.kind is not io.ListKind.CHANGES:
                         self.log.info("roster", kind=told.kind.value, nodes=len(told.entries))
-                case view.Place(server, host, port):
-                    self.pools.place(server, host, port)
-                case view.Forget(server):
-                    self.pools.forget(server)
                 case view.WakeAfter(ms):
                     self._tick = self.reactor.callLater(ms / 1000, self.play, view.Tick())
                 case view.Odd(text):
@@ -109,16 +125,14 @@
                         self.log.warning("roster", odd=text)
 
 
-class RosterFile:
+class RosterFile(_Roster):
     """A file of `[node ID]` sections (host, port, cell, zone, status), read again when it changes."""
 
     def __init__(
         self, reactor, config: Config, pools, tell: Callable[[io.ServerList], None], log=None
     ) -> None:
-        self.reactor, self.pools, self.tell, self.log = reactor, pools, tell, log
+        super().__init__(reactor, config, pools, tell, log)
         self.path = Path(config.roster.file)
-        section = config.roster
-        self.view = view.RosterView(config.zones, config.store.cells, section.silence_ms, section.max_nodes)
         self._stamp, self._version, self._poll = None, 0, None
 
     def watch(self, on: bool) -> None:
@@ -149,13 +163,7 @@
         self._stamp, self._version = stamp, self._version + 1
         line = view.FeedLine("full", self._version, 1, nodes)
         for action in self.view.step(0.0, [view.Heard(line)]):
-            match action:
-                case view.Tell(told):
-                    self.tell(told)
-                case view.Place(server, host, port):
-                    self.pools.place(server, host, port)
-                case view.Forget(server):
-                    self.pools.forget(server)
+            self.carry_out(action)
 
 
 def read_nodes(path: Path) -> tuple[view.NodeLine, ...]:
--- a/tansycrank/router/coordinator.py
+++ b/tansycrank/router/coordinator.py
@@ -10,7 +10,7 @@
 from tansycrank import interface as io
 from tansycrank.brain import Router
 from tansycrank.merge.blocks import Keeper, Memory, PartStream
-from tansycrank.pg.errors import BROKE_OFF, FAILED, INTERNAL, QUERY_CANCELED, REFUSED, PgError
+from tansycrank.pg.errors import BROKE_OFF, FAILED, INTERNAL, REFUSED, PgError, cancelled
 from tansycrank.router.links import Ended, PartRequest
 from tansycrank.router.pool import Pools, Sending
 
@@ -134,7 +134,7 @@
         self.counts["cancelled"] += 1
         self._events.append(io.QueryGone(job.id))
         self._soon()
-        self._end(job, error or PgError(QUERY_CANCELED, "canceling statement due to user request"))
+        self._end(job, error or cancelled())
 
     def heard_list(self, event: io.ServerList) -> None:
         """The roster spoke."""
--- a/tansycrank/router/service.py
+++ b/tansycrank/router/service.py
@@ -133,13 +133,13 @@
             raise PgError("42704", f"unrecognized configuration parameter {name!r}; tansycrank has {known}")
         return value
 
-    def class_of(self, prepared: Prepared, settings: Mapping[str, str]) -> int:
+    def class_of(self, sql: str, settings: Mapping[str, str]) -> int:
         """The position of the query's class: session setting, pattern of the statement, the first class."""
         name = settings.get("tansycrank.class", "")
         if name:
             return self._class_index[name]
         for index, one in enumerate(self.config.classes):
-            if one.pattern is not None and one.pattern.search(prepared.sql):
+            if one.pattern is not None and one.pattern.search(sql):
                 return index
         return 0
 
@@ -185,7 +185,7 @@
         try:
             target = prepared.explain or prepared
             values = self.decoded(target, request.values, request.formats)
-            index = self.class_of(target, settings)
+            index = self.class_of(target.sql, settings)
             effect = self._effect(target, index, settings)
             if prepared.explain is not None:
                 label = f"{self.config.classes[index].name} ({('safe', 'keyed', 'unsafe')[effect]})"
@@ -207,7 +207,7 @@
         ]
         began = self.coordinator.now
         streams = effect == SAFE and prepared.returns_rows and pipeline.streams(plan)
-        repeat = settings.get("tansycrank.repeat") in ("on", "true")
+        repeat = _is_repeat(settings)
 
         def start(time_left: float, ended: Callable[[Result | PgError], None]) -> Job:
             def finished(answer: list[PartState] | PgError) -> None:
@@ -228,22 +228,16 @@
 
         Danger: under a flood, planning what is refused in the end would take all of the router's time.
         """
-        if self.gate.policy is None or not RUNS.match(sql):
+        if not RUNS.match(sql):
             return None
         asker = self.identity.who(caller, settings.get("tansycrank.tenant", ""))
         if not self.gate.pressed(asker.tenant):
             return None
-        index = 0
-        for number, one in enumerate(self.config.classes):
-            if settings.get("tansycrank.class", "") == one.name or (
-                not settings.get("tansycrank.class") and one.pattern is not None and one.pattern.search(sql)
-            ):
-                index = number
-                break
-        mark = self._mark(asker, sql, ())
-        repeat = settings.get("tansycrank.repeat") in ("on", "true")
-        time_left = self._time_left(index, settings)
-        return self.gate.glance(asker, 3 * index + SAFE, time_left, mark, repeat, caller.session)
+        index = self.class_of(sql, settings)
+        mark, time_left = self._mark(asker, sql, ()), self._time_left(index, settings)
+        return self.gate.glance(
+            asker, 3 * index + SAFE, time_left, mark, _is_repeat(settings), caller.session
+        )
 
     def _mark(self, asker: Asker, sql: str, values: tuple[bytes | None, ...]) -> int:
         held = xxhash.xxh3_64(f"{asker.tenant}|{asker.client}|{sql.rstrip('; ')}".encode())
@@ -269,7 +263,7 @@
                 statement=xxhash.xxh3_64_intdigest(LITERAL.sub("?", sql).encode()),
                 mark=self._mark(asker, sql, request.values),
                 size=size,
-                repeat=settings.get("tansycrank.repeat") in ("on", "true"),
+                repeat=_is_repeat(settings),
                 session=request.caller.session,
             )
         )
@@ -337,7 +331,7 @@
             done((target.oids, prepared.fields if prepared.explain else target.fields))
             return None
         part = target.describe_sql()
-        index = self.class_of(target, settings)
+        index = self.class_of(target.sql, settings)
         request = PartRequest(part.shard, part.sql, target.oids, describe=True)
 
         def finished(answer: list[PartState] | PgError) -> None:
@@ -382,3 +376,8 @@
             peak=job.memory.peak,
             ms=round(self.coordinator.now - began, 2),
         )
+
+
+def _is_repeat(settings: Mapping[str, str]) -> bool:
+    """Whether the client says that it asks again."""
+    return settings.get("tansycrank.repeat") in ("on", "true")
--- a/tests/door/test_turns.py
+++ b/tests/door/test_turns.py
@@ -85,4 +85,4 @@
     for _ in range(30):
         clock.turn()
     assert last.seen == 0 and all(r.seen for r in readers[:-1])
-    assert not turns._lanes
+    assert not turns._level.children
