--- a/tansycrank/platform/settings.py
+++ b/tansycrank/platform/settings.py
@@ -1,4 +1,4 @@
-"""What the platform tells a router: environment and `NODE_CONFIG`, checked. Limits of the sockets are named here.
+"""What the platform tells a router: environment and `NODE_CONFIG`, checked. Limits of sockets too.
 
 The `settings` object of the configuration has the simulator's names and is read by `wire.settings_from`.
 """
