SIGTERM serves what clients hold until it must leave; calls get links of their own

The log shows n1 stopping at 15.97 s and gone at 16.57 s while n0, restarted, was ready at 16.83 s; nothing was lost on the links, no time-outs, so both routers were simply away. At fault: the daemon closed all connections 0.6 s after SIGTERM, though the kill comes no sooner than the longest deadline and 0.7 s. Now connections go on while what comes can be served by its aim, and whatever is taken is given no more time than is left before the kill.

At fault: one link a node carried every call. Now a call takes an unused link, else opens one up to the node's share of the descriptors. An answer that noise follows while others wait counts as spoilt.

--- a/tansycrank/platform/coordinator.py
+++ b/tansycrank/platform/coordinator.py
@@ -52,6 +52,7 @@
         self._parts: dict[int, tuple[Query, Part]] = {}
         self._ids = self._number = 0
         self.held = 0  # queries and parts open
+        self.until = float("inf")  # ms: this router ends then; what it takes has to be answered before
         self.counts = dict.fromkeys(
             ("taken", "answered", "refused", "failed", "left", "turned_away", "sends", "cancels"), 0
         )
@@ -78,10 +79,13 @@
         if self.held + 1 + len(request.parts) > self.settings.open_cap:
             self.counts["turned_away"] += 1
             raise Refused(503, "too many requests are open")
+        give_up = self.settings.classes[request.query_class].give_up
+        time_left = min(request.deadline, give_up, self.until - self.loop.now)
+        if time_left <= 0:
+            raise Refused(503, "the router is shutting down")
         self._ids += 1
         self._number += 1
         query = Query(self._ids, request, reply)
-        time_left = min(request.deadline, self.settings.classes[request.query_class].give_up)
         events: list[io.Event] = [io.QueryArrived(
             query.id, self._number, request.query_class, time_left, len(request.parts), request.key,
             request.repeat,
--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -26,6 +26,7 @@
 
 SWEEP = 0.25  # s between looks at what waits too long
 TELL = 10.0  # s between lines about how it goes
+LEAVE_EVERY = 0.05  # s between looks at what is still open while leaving
 READY_WITHIN = 2.0  # s for discovery's first word; the known list serves without it
 
 _logger = logging.getLogger("tansycrank")
@@ -57,7 +58,7 @@
         )
         self.front = Front(reactor, settings, self.coordinator)
         self.port = None
-        self.stopping = False
+        self.stopping = self.stopped = False
         self._calls = [LoopingCall(self._sweep), LoopingCall(self._tell)]
         for call in self._calls:
             call.clock = reactor
@@ -118,34 +119,41 @@
         self.discovery.move(*new.discovery)
 
     def terminate(self) -> None:
-        """SIGTERM: take what still arrives for a moment, answer all, leave."""
+        """SIGTERM: go on with what clients hold and still bring for a moment, answer all, leave.
+
+        Danger: to close at once sends every client to a new connection while the next router may be starting.
+        """
         if self.stopping:
             return
-        self.stopping = True
-        self.front.ready, self.front.draining = False, True
-        log("stopping", open=len(self.coordinator.queries))
-        self.reactor.callLater(configuration.STOP_LISTENING, self._stop_listening)
-        self.reactor.callLater(configuration.STOP_WITHIN, self._give_up)
+        self.stopping, self.front.ready = True, False
+        self.coordinator.until = self.coordinator.loop.now + self.settings.stop_within
+        log("stopping", open=len(self.coordinator.queries), within_ms=self.settings.stop_within)
+        self.reactor.callLater(self.settings.stop_taking / 1000, self._stop_taking)
+        self.reactor.callLater(self.settings.stop_within / 1000, self._give_up)
 
-    def _stop_listening(self) -> None:
+    def _stop_taking(self) -> None:
         self.port.stopListening()
+        self.front.draining = True
         self._leave()
 
     def _leave(self) -> None:
         self.front.close_idle()
         if self.coordinator.queries or self.front.connections:
-            self.reactor.callLater(0.05, self._leave)
+            self.reactor.callLater(LEAVE_EVERY, self._leave)
         else:
             self._stop()
 
     def _give_up(self) -> None:
         self.coordinator.fail_all("the router is shutting down; it may or may not have taken effect")
-        self.reactor.callLater(0.1, self._stop)
+        self.reactor.callLater(LEAVE_EVERY, self._stop)
 
     def _stop(self) -> None:
-        if self.reactor.running:
+        if not self.stopped:
+            self.stopped = True
             log("stopped", **self.coordinator.counts)
             self.coordinator.loop.stop()
+            self.discovery.stop()
+            self.pools.close()
             self.reactor.stop()
 
     # --- now and then -----------------------------------------------------------------
--- a/tansycrank/platform/front.py
+++ b/tansycrank/platform/front.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import httptools
@@ -29,7 +28,6 @@
 )
 
 READY, HEALTHY = b"/-/ready", b"/-/healthy"
-RETRY_AFTER_FULL = ()
 
 
 @dataclass(slots=True, eq=False)
@@ -282,5 +280,3 @@
             if connection.idle:
                 connection.close()
 
-
-Log = Callable[..., None]
--- a/tansycrank/platform/links.py
+++ b/tansycrank/platform/links.py
@@ -87,15 +87,25 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self.heard = self.pools.now
-        was_partial = self.reader.partial
+        was_partial, last = self.reader.partial, None
         try:
             for record in self.reader.feed(data):
                 was_partial = False
+                if last is not None:
+                    self._answered(last)
+                    last = None
                 if isinstance(record, frames.Unusable):
                     self.pools.log("node could not use a frame", node=self.node.server, words=record.words)
                     return self.spoilt(None)
-                self._answered(record)
+                if record.id not in self.out and record.id not in self.past:
+                    raise frames.FrameError(f"an answer to {record.id[:60]!r}, which is not out")
+                last = record
+            if last is not None:
+                self._answered(last)
         except frames.FrameError as problem:
+            # Noise follows a good answer only where nothing else waits: else its length did not fit.
+            if last is not None and self.out.keys() <= {last.id}:
+                self._answered(last)
             return self.spoilt(problem)
         if self.reader.partial:
             if not was_partial:
@@ -106,13 +116,9 @@
         return None
 
     def _answered(self, answer: frames.Answer) -> None:
-        sending = self.out.pop(answer.id, None)
-        if sending is None:
-            if answer.id not in self.past:
-                raise frames.FrameError(f"an answer to {answer.id[:60]!r}, which is not out")
-            return
-        self._remember(answer.id)
-        sending.finish(answer.outcome, answer.value, answer.load)
+        if sending := self.out.pop(answer.id, None):  # else it comes late, or again
+            self._remember(answer.id)
+            sending.finish(answer.outcome, answer.value, answer.load)
 
     def _remember(self, id: bytes) -> None:
         self.past[id] = None
@@ -259,8 +265,9 @@
     # --- sends ------------------------------------------------------------------------
 
     def send(self, id: bytes, server: int, shard: int, text: bytes, time_out: float, done: Done) -> Sending:
-        """Send a part, with the others of this step to its node; `time_out` is ms. `done` is never called
-        before this returns.
+        """Send a part, with the others of this step to its node; `time_out` is ms.
+
+        `done` is never called before this returns.
         """
         now = self.now
         sending = Sending(id, server, shard, text, now, now + time_out / 1000, done)
@@ -296,13 +303,17 @@
             sending.finish(Outcome.NOT_SENT if outcome is Outcome.CANCELLED else Outcome.UNCONNECTED)
 
     def _call(self, node: Node, call: list[Sending]) -> None:
+        """An unused link, else a new one, else the least loaded.
+
+        Danger: calls that share a link share its fate, when one answer on it is spoilt or it falls silent.
+        """
         ids = {sending.id for sending in call}
         fit = [link for link in node.links
                if not link.retired and link.load + len(call) <= max(self.streams, len(call))
                and not ids & link.out.keys()]
-        link = max(fit, key=lambda link: (link.up, link.used), default=None)
-        if link is None:
-            link = self._open(node)
+        link = min(fit, key=lambda link: (link.load, -link.used), default=None)
+        if link is None or link.load and len(node.links) < max(self.max_links // len(self.nodes), 1):
+            link = self._open(node) or link
         if link is None:
             for sending in call:
                 self.reactor.callLater(0, sending.finish, Outcome.NOT_SENT)
--- a/tansycrank/platform/request.py
+++ b/tansycrank/platform/request.py
@@ -81,7 +81,7 @@
     try:
         told = _BODY.decode(body)
         text = told.q.encode()
-    except (ValueError, UnicodeEncodeError) as problem:  # msgspec's faults are ValueErrors that name the place
+    except ValueError as problem:  # msgspec's faults name the place
         raise Refused(400, f"body: {problem}") from problem
     _check_parts(told.shards, shards)
     parts = tuple((part.shard, part.weight, int(part.key, 16)) for part in told.shards)
--- a/tansycrank/platform/settings.py
+++ b/tansycrank/platform/settings.py
@@ -30,8 +30,9 @@
 LATE_IDS = 256  # attempts given up or answered that a link still knows, for their late answers
 BEAT = 3.0  # s without a word on a watch that tells every 2 s
 CALL_WITHIN = 2.0  # s for discovery to take a call
-STOP_LISTENING = 0.6  # s after SIGTERM: until then the front may still send connections
-STOP_WITHIN = 3.5  # s after SIGTERM: what is open then is answered as failed
+LONGEST = 3_000.0  # ms: a longer deadline counts as this where the platform times a restart
+KILL_AFTER = 700.0  # ms from SIGTERM, on top of the longest deadline: SIGKILL comes no sooner
+KILL_MARGIN = 100.0  # ms before that: what is still open then is answered as failed
 RESERVE = 32  # descriptors for everything but clients and links
 SHARE_CLIENTS = 0.5  # of the descriptors, for clients; the rest is for links to nodes
 
@@ -121,6 +122,18 @@
         """Connections to nodes held at most."""
         return max(self.sockets - self.max_clients - RESERVE, 8)
 
+    @property
+    def stop_within(self) -> float:
+        """ms from SIGTERM within which everything is answered."""
+        longest = max(cls.give_up for cls in self.module.classes)
+        return min(longest, LONGEST) + KILL_AFTER - KILL_MARGIN
+
+    @property
+    def stop_taking(self) -> float:
+        """ms from SIGTERM until which connections go on: what comes then can be served by its aim."""
+        longest = max(cls.aim for cls in self.module.classes)
+        return max(self.stop_within - min(longest, LONGEST), KILL_AFTER)
+
 
 def address(text: str, what: str) -> tuple[str, int]:
     """`host:port`; ConfigError names what it was for."""
