Tests of the platform's front, links and discovery; contracts keep both ways in apart

105 cases on a clock and transports in memory: requests that cannot be used or read, hidden requests, bounds, order of answers, SIGTERM, SIGHUP, spoilt answers, lists and watches. One found a fault: a link opened for a part that was never answered was not retired at its time-out, since its connect counted as a word heard (links.py, give_up).

--- a/tansycrank/cli.py
+++ b/tansycrank/cli.py
@@ -24,6 +24,7 @@
     tansycrank demo                      see it work, with stand-in nodes
     tansycrank config check router.ini   check a settings file
     tansycrank serve --config router.ini run a router
+    tansycrank run                       run a router of the operators' platform
     tansycrank sql "SELECT 1"            ask a router
     """
 
@@ -50,6 +51,14 @@
     sys.exit(daemon.run(_load(path), announce))
 
 
+@main.command()
+def run() -> None:
+    """Run one router of the operators' platform, as the environment and NODE_CONFIG tell, until SIGTERM."""
+    from tansycrank.platform import daemon
+
+    sys.exit(daemon.main())
+
+
 @main.group()
 def config() -> None:
     """Check and show settings files."""
--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -115,7 +115,7 @@
             return
         kept = [what for what in ("listen", "module", "sockets", "zones", "classes")
                 if getattr(new, what) != getattr(self.settings, what)]
-        log("reloaded", discovery="%s:%d" % new.discovery, only_after_a_restart=kept)
+        log("reloaded", discovery=list(new.discovery), only_after_a_restart=kept)
         self.discovery.move(*new.discovery)
 
     def terminate(self) -> None:
--- a/tansycrank/platform/links.py
+++ b/tansycrank/platform/links.py
@@ -26,11 +26,11 @@
     server: int
     shard: int
     text: bytes
-    began: float
     until: float
     done: Done
     link: Link | None = None  # the link that carries it, or that it waits for
     out: bool = False  # its bytes were handed to the socket
+    written: float = 0.0  # when
     ended: bool = False
     timer: object = None
 
@@ -77,7 +77,7 @@
         if not call:
             return
         for sending in call:
-            sending.out, sending.link = True, self
+            sending.out, sending.written, sending.link = True, now, self
             self.out[sending.id] = sending
             self.past.pop(sending.id, None)
         self.used = now
@@ -129,7 +129,7 @@
         """Stop waiting for a send that is out; the node is told."""
         self.out.pop(sending.id, None)
         self._remember(sending.id)
-        if self.heard < sending.began and outcome is Outcome.TIMED_OUT:
+        if self.heard <= sending.written and outcome is Outcome.TIMED_OUT:
             self.retired = True  # danger: a machine that vanished leaves its connections open and silent
         self.transport.write(frames.give_up(sending.id))
         sending.finish(outcome)
@@ -218,7 +218,7 @@
         return self.reactor.seconds()
 
     def place(self, server: int, host: str, port: int) -> None:
-        """Where a node is. One that moved gets new links; what is out on the old ones may still be answered."""
+        """Where a node is. One that moved gets new links; the old ones end with what is out."""
         node = self.nodes.get(server)
         if node is not None and (node.host, node.port) != (host, port):
             self._retire(node)
@@ -269,8 +269,7 @@
 
         `done` is never called before this returns.
         """
-        now = self.now
-        sending = Sending(id, server, shard, text, now, now + time_out / 1000, done)
+        sending = Sending(id, server, shard, text, self.now + time_out / 1000, done)
         node = self.nodes.get(server)
         if node is None:
             self.reactor.callLater(0, sending.finish, Outcome.UNCONNECTED)
--- /dev/null
+++ b/tests/platform/live.py
@@ -0,0 +1,195 @@
+"""A router of the platform on a clock and transports in memory; clients, nodes and discovery are played."""
+
+import json
+
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from tansycrank.platform import settings as configuration
+from tansycrank.platform.daemon import Daemon
+
+START = 1_700_000_000.0  # s; nodes' starts are told on the same clock
+
+TOLD = {
+    "caps": {
+        "attemptsCap": 3, "cancel": True, "maxRetryAfter": 500.0, "mayProbe": False, "openCap": 60,
+        "peers": False, "retryAfter": True, "secondCopies": True, "streamsPerConn": 8,
+        "connectTimeout": 250.0, "connIdle": 10_000.0,
+    },
+    "clients": {"marksRetry": True},
+    "discovery": "ask",
+    "workload": "fanout",
+    "familyInfo": {
+        "bundleMax": 4, "followUp": [0, 0], "inARow": 3, "minShare": [1.0, 1.0], "perCallWork": 0.0,
+        "positions": 3, "shortWorth": [0.0, 0.0], "slabs": 9, "wholeAt": [1.0, 1.0],
+    },
+    "localities": ["a", "b", "c"],
+    "me": 0, "replicasOfMe": 2, "step": 5.0, "zone": 0,
+    "prices": {"crossZone": 0.0, "lateFail": 0.0, "probe": 0.0, "waste": 0.0},
+    "rules": {
+        "askEvery": 10_000.0, "cold": 10_000.0, "coldFrom": 0.2, "fall": 1000.0, "graceToAnswer": 20.0,
+        "overloadFactor": 2.0, "stopSendingWithin": 500.0,
+    },
+    "services": [
+        {"aim": 1000.0, "effect": "read_like", "giveUp": 2000.0, "lateWorth": 0.5, "name": "look",
+         "points": 1.0, "window": 0.0},
+        {"aim": 1000.0, "effect": "non_idempotent", "giveUp": 2000.0, "lateWorth": 0.5, "name": "book",
+         "points": 1.0, "window": 0.0},
+    ],
+}
+
+
+def entry(number, state="in_service", **more):
+    return {"id": f"s-{number}", "addr": f"127.0.0.{number}:7070", "zone": "abc"[number % 3], "kind": "k",
+            "cell": number % 3, "state": state, "weight": 1.0, "started_ms": 0} | more
+
+
+def config(servers=(1, 2, 3), **more):
+    """The bytes of a configuration file; `more` replaces top-level keys."""
+    told = {
+        "name": "n0", "listen": "127.0.0.1:7000", "discovery": "127.0.0.9:8500", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 128},
+        "known": {"version": 4, "full": True, "servers": [entry(n) for n in servers]},
+        "settings": TOLD,
+    }
+    return json.dumps(told | more).encode()
+
+
+class Transport(StringTransport):
+    """Ends its protocol's connection when told to, as a socket would."""
+
+    def __init__(self, protocol=None):
+        super().__init__()
+        self.protocol, self.over, self.half_closed = protocol, False, False
+
+    def setTcpNoDelay(self, enabled):  # noqa: N802
+        pass
+
+    def loseWriteConnection(self):  # noqa: N802
+        self.half_closed = True
+
+    def loseConnection(self):  # noqa: N802
+        self.end()
+
+    def abortConnection(self):  # noqa: N802
+        self.end()
+
+    def end(self):
+        if not self.over:
+            self.over = True
+            self.protocol.connectionLost(Failure(ConnectionDone()))
+
+    def take(self):
+        """What was written since this was last asked."""
+        written = self.value()
+        self.clear()
+        return written
+
+
+class Peer:
+    """The far end of a connection that the router made."""
+
+    def __init__(self, host, port, factory):
+        self.host, self.port, self.factory = host, port, factory
+        self.protocol = self.transport = None
+
+    def accept(self):
+        self.protocol = self.factory.buildProtocol(None)
+        self.transport = Transport(self.protocol)
+        self.protocol.makeConnection(self.transport)
+        return self
+
+    def refuse(self):
+        self.factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+
+    def calls(self):
+        """The parts sent since this was last asked: (id, shard, ms, text)."""
+        data, parts = self.transport.take(), []
+        self.given_up = []
+        while data:
+            size = int.from_bytes(data[:4], "little")
+            letter, rest, data = data[4:5], data[5 : 4 + size], data[4 + size :]
+            if letter == b"X":
+                self.given_up.append(rest.decode())
+                continue
+            while rest:
+                line, _, rest = rest.partition(b"\n")
+                id, shard, wait, length = line.decode().split()
+                parts.append((id, int(shard), int(wait.removeprefix("d=")), rest[: int(length)]))
+                rest = rest[int(length) :]
+        return parts
+
+    def say(self, data):
+        self.protocol.dataReceived(data)
+
+
+def frame(letter, rest):
+    return (len(rest) + 1).to_bytes(4, "little") + letter + rest
+
+
+def answer(id, end="ok", value="0123456789abcdef", report="-"):
+    value = value if end == "ok" else ""
+    return frame(b"A", f"{id} {end} 17 {report}\n{value}".encode())
+
+
+def post(id="q1", path="/look?obj=7f3a9c21e0b4d655", shards=((0, 1.0),), deadline=900, body=None, more=""):
+    if body is None:
+        body = json.dumps({"shards": [{"shard": s, "weight": w} for s, w in shards], "q": "c41e"})
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline}\r\n"
+        f"{more}Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+class Live:
+    """The daemon and the far ends of its connections."""
+
+    def __init__(self, raw=None, environ=None):
+        self.reactor = MemoryReactorClock()
+        self.reactor.running = True
+        self.reactor.rightNow = START
+        self.daemon = Daemon(self.reactor, configuration.parse(raw or config(), {}), environ or {})
+        self.daemon.start()
+        self.seen = 0
+        self.discovery, self.nodes = [], []
+        self.run(0)
+
+    def run(self, seconds):
+        """Pass time in steps of 5 ms; new connections are sorted to discovery and nodes."""
+        for _ in range(max(round(seconds / 0.005), 3)):
+            self.reactor.advance(0.005 if seconds else 0)
+        for host, port, factory, *_ in self.reactor.tcpClients[self.seen :]:
+            (self.discovery if port >= 8000 else self.nodes).append(Peer(host, port, factory))
+        self.seen = len(self.reactor.tcpClients)
+
+    def client(self):
+        protocol = self.daemon.front.buildProtocol(None)
+        if protocol is None:
+            return None
+        transport = Transport(protocol)
+        protocol.makeConnection(transport)
+        return protocol, transport
+
+    def ask(self, data, client=None):
+        """A client sends this; returns its transport."""
+        protocol, transport = client or self.client()
+        protocol.dataReceived(data)
+        self.run(0)
+        return transport
+
+    def sent(self):
+        """All parts sent to nodes since this was last asked: (peer, id, shard)."""
+        self.run(0)
+        for peer in self.nodes:
+            if peer.transport is None:
+                peer.accept()
+        return [(peer, id, shard) for peer in self.nodes for id, shard, _, _ in peer.calls()]
+
+
+def status(written):
+    return int(written.split(b" ", 2)[1]) if written else None
+
+
+def body(written):
+    return json.loads(written.partition(b"\r\n\r\n")[2])
--- /dev/null
+++ b/tests/platform/test_discovery.py
@@ -0,0 +1,166 @@
+"""Discovery: the watch, its lines, its silence; names and their numbers; the configuration."""
+
+import json
+
+import msgspec
+import pytest
+from live import START, Live, answer, config, entry, post, status
+
+from tansycrank import interface as io
+from tansycrank.platform import settings as configuration
+from tansycrank.platform.names import FORGET, Names
+from tansycrank.platform.settings import Listing
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def line(version, *servers, full=False):
+    return chunk(json.dumps({"version": version, "full": full, "servers": servers}).encode() + b"\n")
+
+
+@pytest.fixture
+def live():
+    live = Live()
+    live.watch = live.discovery[0].accept()
+    return live
+
+
+def states(live):
+    return {server: one.status for server, one in live.daemon.coordinator.loop.router.servers.items()}
+
+
+def test_the_watch_starts_from_the_version_known(live):
+    assert live.watch.transport.take().startswith(b"GET /api/targets?watch=1&after=4 HTTP/1.1\r\nHost: ")
+
+
+def test_changes_reach_the_module_and_drained_nodes_get_nothing(live):
+    live.watch.say(HEAD + line(5, entry(1, "terminating"), entry(2, "terminated")))
+    live.run(0)
+    assert states(live) == {1: io.Status.DRAINING, 2: io.Status.GONE, 3: io.Status.READY}
+    for n in range(6):
+        live.ask(post(id=f"r{n}"))
+    assert {peer.host for peer, _, _ in live.sent()} == {"127.0.0.3"}
+
+
+def test_a_whole_list_says_who_is_gone_and_one_cut_anywhere_is_read(live):
+    data = HEAD + line(9, entry(2), entry(4), full=True)
+    for at in range(0, len(data), 7):
+        live.watch.say(data[at : at + 7])
+    live.run(0)
+    assert states(live) == {
+        1: io.Status.GONE, 2: io.Status.READY, 3: io.Status.GONE, 4: io.Status.READY
+    }
+
+
+def test_an_older_list_brings_nobody_back(live):
+    live.watch.say(HEAD + line(9, entry(1, "terminated")))
+    live.watch.say(line(7, entry(1), entry(2), entry(3), full=True))
+    live.run(0)
+    assert states(live)[1] is io.Status.GONE
+
+
+@pytest.mark.parametrize("end", ["refused", "reset", "503", "noise", "silent"])
+def test_a_watch_that_fails_is_asked_for_again(end):
+    live = Live()
+    watch = live.discovery[0]
+    if end == "refused":
+        watch.refuse()
+    else:
+        watch.accept()
+        if end == "reset":
+            watch.say(HEAD)
+            watch.transport.end()
+        elif end == "503":
+            watch.say(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        elif end == "noise":
+            watch.say(HEAD + chunk(b"{no json\n"))
+        else:
+            live.run(4.0)
+    live.run(0.5)
+    assert len(live.discovery) == 2
+
+
+def test_beats_keep_a_watch(live):
+    live.watch.say(HEAD)
+    for _ in range(6):
+        live.run(2.0)
+        live.watch.say(chunk(b"\n"))
+    assert len(live.discovery) == 1
+
+
+def test_a_query_is_served_while_discovery_is_down():
+    live = Live()
+    live.discovery[0].refuse()
+    transport = live.ask(post())
+    [(peer, id, _)] = live.sent()
+    peer.say(answer(id))
+    live.run(0)
+    assert status(transport.take()) == 200
+
+
+def test_a_node_without_a_usable_address_harms_no_other(live):
+    live.watch.say(HEAD + line(5, entry(1, addr="nowhere"), entry(3, addr="127.0.0.33:7070")))
+    live.run(0)
+    live.ask(post(shards=((0, 0.5), (2, 0.5))))
+    assert live.sent()
+
+
+def test_numbers_are_kept_while_a_node_may_come_back_and_forgotten_after():
+    names = Names(("a", "b"))
+
+    def heard(now, *entries):
+        listing = msgspec.convert({"version": 1, "servers": list(entries)}, Listing)
+        return names.heard(listing, io.ListKind.CHANGES, now)
+
+    heard(0, entry(1), entry(2))
+    heard(10, entry(1, "terminated"))
+    event, places = heard(20, entry(1))
+    assert event.entries[0].server == 1 and places == {1: "127.0.0.1:7070"}
+    heard(30, entry(1, "terminated"))
+    for n in range(3, 2000):
+        heard(30 + FORGET * n, entry(n))
+        heard(40 + FORGET * n, entry(n, "terminated"))
+    assert len(names) <= 3
+    event, _ = heard(FORGET * 3000, entry(1))
+    assert event.entries[0].server > 1
+
+
+def test_settings_hold_what_the_sockets_need():
+    found = configuration.parse(config(), {})
+    assert found.listen == ("127.0.0.1", 7000) and found.discovery == ("127.0.0.9", 8500)
+    assert found.classes == {"look": 0, "book": 1} and found.streams == 8 and found.idle == 10_000.0
+    assert found.max_clients + found.max_links < found.sockets
+    assert found.seed == 0x8C1F30D27A5BE964
+
+
+def test_the_environment_stands_in_for_what_the_file_lacks():
+    found = configuration.parse(config(listen="", discovery=""), {
+        "NODE_LISTEN": "127.0.0.5:7171", "NODE_DISCOVERY": "127.0.0.6:8181"
+    })
+    assert found.listen == ("127.0.0.5", 7171) and found.discovery == ("127.0.0.6", 8181)
+
+
+@pytest.mark.parametrize("raw, said", [
+    (b"{", "NODE_CONFIG"),
+    (config(listen="nowhere"), "listen"),
+    (config(seed="zz"), "seed"),
+    (config(limits={"sockets": 9}), "sockets"),
+    (config(settings={"services": []}), "NODE_CONFIG"),
+    (config(discovery="127.0.0.1:99999"), "discovery"),
+])
+def test_a_configuration_that_cannot_be_used_says_where(raw, said):
+    with pytest.raises(configuration.ConfigError, match=said):
+        configuration.parse(raw, {})
+
+
+def test_a_missing_file_is_told():
+    with pytest.raises(configuration.ConfigError, match="NODE_CONFIG"):
+        configuration.load({"NODE_CONFIG": "/nowhere/at/all.json"})
+
+
+def test_the_modules_clock_is_that_of_the_nodes_starts(live):
+    assert live.daemon.coordinator.loop.now >= START * 1000
--- /dev/null
+++ b/tests/platform/test_front.py
@@ -0,0 +1,256 @@
+"""Clients of the platform: requests that can be used and those that cannot."""
+
+import pytest
+from live import Live, answer, body, config, post, status
+
+from tansycrank.platform import settings as configuration
+
+
+@pytest.fixture
+def live():
+    return Live()
+
+
+def test_a_query_is_served_with_each_parts_value(live):
+    client = live.ask(post(shards=((3, 0.5), (7, 0.5))))
+    sent = live.sent()
+    assert sorted((id, shard) for _, id, shard in sent) == [("q1.3", 3), ("q1.7", 7)]
+    for peer, id, shard in sent:
+        peer.say(answer(id, value=f"value-{shard}"))
+    live.run(0)
+    written = client.take()
+    assert status(written) == 200
+    found = body(written)
+    assert found["complete"] is True
+    assert sorted((hit["shard"], hit["doc"]) for hit in found["hits"]) == [(3, "value-3"), (7, "value-7")]
+
+
+BAD = {
+    "class": post(path="/nothing"),
+    "no id": post(id=""),
+    "id with a blank": post(id="a b"),
+    "deadline in words": post(deadline="soon"),
+    "deadline 0": post(deadline=0),
+    "deadline below 0": post(deadline=-5),
+    "no such shard": post(shards=((9, 1.0),)),
+    "shard below 0": post(shards=((-1, 1.0),)),
+    "shard twice": post(shards=((1, 0.5), (1, 0.5))),
+    "weight below 0": post(shards=((1, -0.5), (2, 1.5))),
+    "weights of too little": post(shards=((1, 0.3), (2, 0.3))),
+    "no shards": post(shards=()),
+    "no json": post(body="{"),
+    "no text": post(body='{"shards":[{"shard":1,"weight":1}]}'),
+    "key": post(body='{"shards":[{"shard":1,"weight":1,"key":"zz"}],"q":"x"}'),
+    "cost": post(body='{"shards":[{"shard":1,"weight":1,"cost":-1}],"q":"x"}'),
+    "half a surrogate": post(body='{"shards":[{"shard":1,"weight":1}],"q":"\\ud800"}'),
+    "retry": post(more="X-Retry: maybe\r\n"),
+    "method": post().replace(b"POST", b"GET", 1),
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_what_cannot_be_used_is_refused_and_the_connection_goes_on(live, name):
+    client = live.client()
+    transport = live.ask(BAD[name], client)
+    assert 400 <= status(transport.take()) < 500
+    assert not transport.over and not live.sent()
+    live.ask(post(id="good"), client)
+    assert [id for _, id, _ in live.sent()] == ["good.0"]
+
+
+UNREADABLE = {
+    "noise": b"\x16\x03\x01\x02\x00\x01\x00\x01",
+    "length below 0": post().replace(b"Content-Length: ", b"Content-Length: -"),
+    "length of 60 MB": post().replace(b"Content-Length: ", b"Content-Length: 62914560\r\nX-Was: "),
+    "two lengths": post(more="Content-Length: 3\r\n"),
+    "both framings": post(more="Transfer-Encoding: chunked\r\n"),
+    "two ids": post(more="X-Request-Id: other\r\n"),
+    "no host": post().replace(b"Host:", b"Hust:"),
+    "head without end": b"POST /look HTTP/1.1\r\n" + b"X-A: " + b"a" * 20_000,
+    "chunks without end": b"POST /look HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    + b"".join(b"4000\r\n" + b"a" * 0x4000 + b"\r\n" for _ in range(5)),
+}
+
+
+@pytest.mark.parametrize("name", UNREADABLE)
+def test_what_cannot_be_read_gets_an_error_and_a_close(live, name):
+    transport = live.ask(UNREADABLE[name])
+    assert 400 <= status(transport.take()) < 500
+    assert transport.half_closed and transport.producerState == "paused"
+    live.run(0.5)
+    assert transport.over and not live.sent()
+
+
+def test_a_request_hidden_in_the_body_of_another_is_never_passed_on(live):
+    hidden = post(id="hidden")
+    outer = (
+        b"POST /look HTTP/1.1\r\nHost: a\r\nX-Request-Id: outer\r\nX-Deadline-Ms: 900\r\n"
+        b"Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" % (len(hidden) + 5)
+    ) + hidden
+    transport = live.ask(outer)
+    assert status(transport.take()) == 400 and not live.sent()
+
+
+def test_a_request_may_come_in_chunks_and_byte_by_byte(live):
+    text = b'{"shards":[{"shard":1,"weight":1}],"q":"x"}'
+    whole = (
+        b"POST /look HTTP/1.1\r\nHost: a\r\nX-Request-Id: c1\r\nX-Deadline-Ms: 900\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (len(text), text)
+    )
+    protocol, _ = live.client()
+    for byte in whole:
+        protocol.dataReceived(bytes([byte]))
+    assert [id for _, id, _ in live.sent()] == ["c1.1"]
+
+
+def test_an_id_that_is_open_is_refused_and_its_owner_still_served(live):
+    first = live.ask(post(id="one"))
+    second = live.ask(post(id="one"))
+    assert status(second.take()) == 409
+    [(peer, id, _)] = live.sent()
+    peer.say(answer(id))
+    live.run(0)
+    assert status(first.take()) == 200
+
+
+def test_answers_keep_the_order_of_their_requests(live):
+    transport = live.ask(post(id="one") + post(id="two", shards=((1, 1.0),)))
+    sent = {id: peer for peer, id, _ in live.sent()}
+    sent["two.1"].say(answer("two.1", value="2"))
+    live.run(0)
+    assert transport.take() == b""
+    sent["one.0"].say(answer("one.0", value="1"))
+    live.run(0)
+    written = transport.take()
+    assert written.index(b'"doc":"1"') < written.index(b'"doc":"2"')
+
+
+def test_hundreds_of_requests_at_once_stay_bounded(live):
+    transport = live.ask(b"".join(post(id=f"r{n}") for n in range(300)))
+    assert len(live.daemon.coordinator.queries) <= configuration.MAX_PIPELINE
+    live.run(2.5)
+    assert transport.over and not live.daemon.coordinator.queries
+
+
+def test_beyond_the_open_cap_a_query_is_turned_away_at_once_with_a_time(live):
+    for n in range(30):  # two entries each: a query and its part
+        live.ask(post(id=f"r{n}"))
+    written = live.ask(post(id="more")).take()
+    assert status(written) == 503 and b"Retry-After: 0." in written
+    assert live.daemon.coordinator.held <= 60
+
+
+def test_who_says_nothing_is_closed_within_three_seconds(live):
+    protocol, transport = live.client()
+    half, half_transport = live.client()
+    half.dataReceived(post()[:60])
+    live.run(2.5)
+    assert transport.over and transport.take() == b""
+    assert status(half_transport.take()) == 408 and half_transport.over
+
+
+def test_silent_connections_give_way_at_the_bound(live):
+    client = live.client()
+    live.ask(post(id="busy"), client)
+    for _ in range(200):
+        assert live.client() is not None
+    assert len(live.daemon.front.connections) <= live.daemon.settings.max_clients
+    assert not client[1].over
+    [(peer, id, _)] = live.sent()
+    peer.say(answer(id))
+    live.run(0)
+    assert status(client[1].take()) == 200
+
+
+def test_a_client_that_does_not_read_is_cut_off(live):
+    protocol, transport = live.client()
+    protocol.pauseProducing()
+    live.run(configuration.UNREAD + 0.5)
+    assert transport.over
+
+
+def test_a_client_that_leaves_ends_its_query_and_its_parts(live):
+    _, transport = client = live.client()
+    live.ask(post(), client)
+    [(peer, id, _)] = live.sent()
+    transport.end()
+    live.run(0)
+    peer.calls()
+    assert peer.given_up == [id]
+    assert not live.daemon.coordinator.queries and not live.daemon.coordinator._parts
+
+
+def test_ready_only_once_discovery_has_spoken_or_failed(live):
+    ready = b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"
+    assert status(live.ask(ready).take()) == 503
+    live.discovery[0].refuse()
+    assert status(live.ask(ready).take()) == 200
+
+
+def test_what_is_given_up_is_refused_at_once_with_a_time_to_come_back(live):
+    transport = live.ask(post(deadline=400))
+    [(peer, id, _)] = live.sent()
+    live.run(0.5)
+    written = transport.take()
+    assert status(written) == 503 and b"Retry-After: " in written
+
+
+def test_an_unsafe_query_that_may_have_run_is_failed_not_refused(live):
+    transport = live.ask(post(path="/book"))
+    [(peer, id, _)] = live.sent()
+    peer.transport.end()
+    live.run(0)
+    assert status(transport.take()) == 504 and not live.sent()
+
+
+def test_an_unsafe_part_goes_on_to_the_next_node_where_the_first_never_came_up(live):
+    transport = live.ask(post(path="/book"))
+    live.nodes[0].refuse()
+    live.nodes.clear()
+    live.run(0.01)
+    [(peer, id, _)] = live.sent()
+    peer.say(answer(id))
+    live.run(0)
+    assert status(transport.take()) == 200
+
+
+def test_sigterm_serves_what_is_held_and_then_leaves():
+    live = Live()
+    held = live.client()
+    live.daemon.terminate()
+    assert status(live.ask(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").take()) == 503
+    live.ask(post(id="after"), held)
+    [(peer, id, _)] = live.sent()
+    peer.say(answer(id))
+    live.run(0)
+    written = held[1].take()
+    assert status(written) == 200 and b"Connection: close" not in written
+    live.run(live.daemon.settings.stop_taking / 1000 + 0.2)
+    assert held[1].over and live.reactor.hasStopped
+
+
+def test_sigterm_leaves_nothing_unanswered_by_the_kill():
+    live = Live()
+    live.daemon.terminate()
+    live.run(1.0)
+    transport = live.ask(post(path="/book", deadline=2000))
+    live.sent()
+    live.run(live.daemon.settings.stop_within / 1000 - 1.0 + 0.1)
+    assert status(transport.take()) in (503, 504)
+    live.run(0.2)
+    assert live.reactor.hasStopped
+
+
+def test_sighup_moves_the_watch_and_a_bad_file_changes_nothing(tmp_path):
+    path = tmp_path / "config.json"
+    live = Live(environ={"NODE_CONFIG": str(path)})
+    path.write_bytes(b"{")
+    live.daemon.reload()
+    live.run(0)
+    assert len(live.discovery) == 1
+    path.write_bytes(config(discovery="127.0.0.9:8600"))
+    live.daemon.reload()
+    live.run(0)
+    assert live.discovery[1].port == 8600
+    transport = live.discovery[1].accept().transport
+    assert transport.take().startswith(b"GET /api/targets?watch=1&after=4 HTTP/1.1\r\n")
--- /dev/null
+++ b/tests/platform/test_links.py
@@ -0,0 +1,284 @@
+"""Connections to data nodes: calls, spoilt answers, exactly one outcome a send."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from live import Live, Peer, answer, frame, post
+from twisted.internet.testing import MemoryReactorClock
+
+from tansycrank.interface import Outcome
+from tansycrank.platform import frames
+from tansycrank.platform.links import Pools
+
+VALUE = "0123456789abcdef"
+
+
+class Node:
+    """Pools with one node, whose end of the links is played."""
+
+    def __init__(self, streams=8, call_parts=4, max_links=8):
+        self.reactor = MemoryReactorClock()
+        self.log = []
+        self.pools = Pools(
+            self.reactor, streams, call_parts, 250.0, 10_000.0, max_links, lambda *a, **k: self.log.append(a)
+        )
+        self.pools.place(1, "127.0.0.1", 7070)
+        self.ends = {}
+
+    def send(self, *ids, time_out=1000.0, server=1):
+        sendings = [
+            self.pools.send(id.encode(), server, 0, b"text", time_out, self.hear(id)) for id in ids
+        ]
+        self.pools.flush()
+        return sendings
+
+    def hear(self, id):
+        return lambda outcome, value, load: self.ends.setdefault(id, []).append((outcome, value, load))
+
+    @property
+    def peers(self):
+        return [Peer(host, port, factory) for host, port, factory, *_ in self.reactor.tcpClients]
+
+    def up(self, *ids, **more):
+        """These sends are out on one link; its far end."""
+        at = len(self.reactor.tcpClients)
+        self.send(*ids, **more)
+        peer = self.peers[at].accept()
+        assert [id for id, *_ in peer.calls()] == list(ids)
+        return peer
+
+
+def outcomes(node):
+    return {id: [outcome for outcome, *_ in ends] for id, ends in node.ends.items()}
+
+
+def test_the_parts_of_a_step_share_a_call_up_to_its_size():
+    node = Node()
+    node.send(*(f"q.{n}" for n in range(6)))
+    peers = [peer.accept() for peer in node.peers]
+    assert [len(peer.calls()) for peer in peers] == [4, 2]
+
+
+def test_a_call_takes_an_unused_link_before_a_new_one():
+    node = Node()
+    first = node.up("a.1")
+    first.say(answer("a.1"))
+    node.send("b.1")
+    assert len(node.peers) == 1 and [id for id, *_ in first.calls()] == ["b.1"]
+    node.send("c.1")
+    assert len(node.peers) == 2
+
+
+def test_links_stay_within_their_bound_and_parts_within_the_streams():
+    node = Node(streams=2, max_links=2)
+    for n in range(6):
+        node.send(f"q.{n}")
+    for peer in node.peers:
+        peer.accept()
+    node.reactor.advance(0)
+    assert len(node.peers) == 2
+    assert sorted(outcomes(node)) == ["q.4", "q.5"] and node.ends["q.4"][0][0] is Outcome.NOT_SENT
+
+
+def test_waiting_is_told_from_the_time_left_when_the_connection_is_up():
+    node = Node()
+    node.send("a.1", time_out=500.0)
+    node.reactor.advance(0.2)
+    [(_, _, wait, text)] = node.peers[0].accept().calls()
+    assert wait == 300 and text == b"text"
+
+
+@pytest.mark.parametrize("end, outcome", [
+    ("ok", Outcome.ANSWERED), ("err", Outcome.ERROR), ("busy", Outcome.REJECTED),
+])
+def test_each_end_has_its_outcome(end, outcome):
+    node = Node()
+    node.up("a.1").say(answer("a.1", end, report="x=7,y=0.61"))
+    assert node.ends["a.1"] == [(outcome, VALUE if end == "ok" else "", (7.0, 0.61))]
+
+
+def test_no_connection_proves_that_it_never_ran():
+    node = Node()
+    node.send("refused.1")
+    node.peers[0].refuse()
+    assert outcomes(node) == {"refused.1": [Outcome.UNCONNECTED]}
+
+
+def test_a_connection_lost_may_have_run_what_was_out():
+    node = Node()
+    node.up("a.1", "a.2").transport.end()
+    assert outcomes(node) == {"a.1": [Outcome.BROKEN_OFF], "a.2": [Outcome.BROKEN_OFF]}
+    assert node.pools.count == 0
+
+
+def test_nothing_in_time_is_a_time_out_and_its_late_answer_is_nobodys():
+    node = Node()
+    peer = node.up("a.1")
+    peer.say(answer("a.1", "busy")[:4])
+    node.reactor.advance(1.0)
+    assert outcomes(node) == {"a.1": [Outcome.TIMED_OUT]}
+    node = Node()
+    peer = node.up("a.1", "a.2")
+    [sending] = node.send("b.1")
+    peer.say(answer("a.2"))
+    node.reactor.advance(1.0)
+    peer.calls()
+    assert peer.given_up == ["a.1"]
+    assert outcomes(node)["a.1"] == [Outcome.TIMED_OUT]
+    peer.say(answer("a.1"))
+    assert outcomes(node)["a.1"] == [Outcome.TIMED_OUT] and not peer.transport.over
+
+
+def test_a_silent_link_takes_nothing_more():
+    node = Node()
+    peer = node.up("a.1")
+    node.reactor.advance(1.0)
+    assert peer.transport.over
+    node.send("b.1")
+    assert len(node.peers) == 2
+
+
+def test_a_cancel_before_the_connection_is_up_sends_nothing():
+    node = Node()
+    first, _ = node.send("a.1", "a.2")
+    node.pools.cancel(first)
+    peer = node.peers[0].accept()
+    assert [id for id, *_ in peer.calls()] == ["a.2"]
+    assert outcomes(node) == {"a.1": [Outcome.NOT_SENT]}
+
+
+def test_a_cancel_of_what_is_out_tells_the_node():
+    node = Node()
+    at = len(node.peers)
+    [sending] = node.send("a.1")
+    peer = node.peers[at].accept()
+    node.pools.cancel(sending)
+    peer.calls()
+    assert peer.given_up == ["a.1"] and outcomes(node) == {"a.1": [Outcome.CANCELLED]}
+
+
+SPOILT = {
+    "noise": b"\x91\x07\xfe\x44\x10\x22\x90",
+    "3 GB": (3_000_000_000).to_bytes(4, "little") + b"A" + b"x" * 200,
+    "length 0": b"\0\0\0\0A",
+    "letter": frame(b"\x01", b"a.1 ok 17 -\nvalue"),
+    "no line": frame(b"A", b"7c"),
+    "a line without an end": (60_000).to_bytes(4, "little") + b"A" + b"y" * 2000,
+    "end": frame(b"A", b"a.1 ? 17 -\nvalue"),
+    "no end": frame(b"A", b"a.1  17 -\nvalue"),
+    "an id that is not out": answer("zz.9"),
+    "a value that is no text": frame(b"A", b"a.1 ok 17 -\n\xff\xfe"),
+}
+
+
+@pytest.mark.parametrize("name", SPOILT)
+def test_a_spoilt_answer_ends_the_link_and_all_on_it_may_have_run(name):
+    node = Node()
+    peer = node.up("a.1", "a.2")
+    peer.say(SPOILT[name])
+    assert outcomes(node) == {"a.1": [Outcome.BROKEN_OFF], "a.2": [Outcome.BROKEN_OFF]}
+    assert peer.transport.over
+
+
+def test_a_frame_that_does_not_go_on_ends_the_link():
+    node = Node()
+    peer = node.up("a.1")
+    peer.say(answer("a.1")[:-3])
+    node.reactor.advance(0.6)
+    node.pools.sweep()
+    assert outcomes(node) == {"a.1": [Outcome.BROKEN_OFF]} and peer.transport.over
+
+
+@pytest.mark.parametrize("behind", [b"\x91\x07\xfe\x44\x10\x22", b"\x09", b"zzzzzzzzz"])
+def test_noise_behind_a_good_answer_costs_the_link_and_not_the_answer(behind):
+    node = Node()
+    peer = node.up("a.1")
+    peer.say(answer("a.1") + behind)
+    assert outcomes(node) == {"a.1": [Outcome.ANSWERED]} and peer.transport.over
+
+
+def test_noise_behind_an_answer_while_others_wait_means_that_its_length_did_not_fit():
+    node = Node()
+    node.up("a.1", "a.2").say(answer("a.1", value="0123") + b"zzzzzzzzz")
+    assert outcomes(node) == {"a.1": [Outcome.BROKEN_OFF], "a.2": [Outcome.BROKEN_OFF]}
+
+
+def test_a_second_copy_of_an_answer_does_no_harm():
+    node = Node()
+    peer = node.up("a.1")
+    peer.say(answer("a.1") + answer("a.1"))
+    assert outcomes(node) == {"a.1": [Outcome.ANSWERED]} and not peer.transport.over
+
+
+def test_a_load_report_that_cannot_be_read_is_none():
+    node = Node()
+    node.up("a.1").say(answer("a.1", report="%%%"))
+    assert node.ends["a.1"] == [(Outcome.ANSWERED, VALUE, ())]
+
+
+def test_a_frame_the_node_could_not_use_may_have_run():
+    node = Node()
+    node.up("a.1").say(frame(b"E", b"bad"))
+    assert outcomes(node) == {"a.1": [Outcome.BROKEN_OFF]}
+
+
+def test_unused_links_close_before_the_node_closes_them():
+    node = Node()
+    peer = node.up("a.1")
+    peer.say(answer("a.1"))
+    node.reactor.advance(7.9)
+    node.pools.sweep()
+    assert not peer.transport.over
+    node.reactor.advance(0.2)
+    node.pools.sweep()
+    assert peer.transport.over
+
+
+def test_a_node_that_is_gone_finishes_what_it_has_and_gets_nothing():
+    node = Node()
+    peer = node.up("a.1")
+    node.pools.forget(1)
+    node.send("b.1")
+    node.reactor.advance(0)
+    assert outcomes(node) == {"b.1": [Outcome.UNCONNECTED]}
+    peer.say(answer("a.1"))
+    assert outcomes(node)["a.1"] == [Outcome.ANSWERED] and peer.transport.over
+
+
+def test_a_node_that_moved_is_called_at_its_new_place():
+    node = Node()
+    node.up("a.1")
+    node.pools.place(1, "127.0.0.2", 7070)
+    node.send("b.1")
+    assert node.peers[-1].host == "127.0.0.2"
+
+
+@given(st.binary(max_size=300), st.lists(st.integers(1, 60), max_size=8))
+def test_no_bytes_break_the_reader_or_grow_it(noise, cuts):
+    data = answer("a.1") + noise
+    reader, found = frames.Reader(), []
+    try:
+        for cut in [*cuts, len(data)]:
+            found += reader.feed(data[:cut])
+            data = data[cut:]
+    except frames.FrameError:
+        pass
+    assert found and found[0].value == VALUE
+
+
+def test_every_send_ends_once_whatever_the_node_does():
+    live = Live()
+    live.discovery[0].refuse()
+    for n in range(4):
+        live.ask(post(id=f"r{n}", shards=((n, 0.5), (n + 4, 0.5))))
+    sent = live.sent()
+    for at, (peer, id, _) in enumerate(sent):
+        if at % 3 == 0:
+            peer.transport.end()
+        elif at % 3 == 1 and not peer.transport.over:
+            peer.say(answer(id))
+    live.run(3)
+    coordinator = live.daemon.coordinator
+    assert sum(coordinator.outcomes.values()) == coordinator.counts["sends"]
+    assert not coordinator.queries and not coordinator._parts and coordinator.held == 0
+    assert not coordinator.loop.router.out
