--- a/tansycrank/platform/links.py
+++ b/tansycrank/platform/links.py
@@ -54,7 +54,8 @@
         self.out: dict[bytes, Sending] = {}
         self.past: OrderedDict[bytes, None] = OrderedDict()  # ids whose answers may still come, or come again
         self.reader = frames.Reader()
-        self.used = self.heard = self.half_since = pools.now
+        self.used = self.half_since = pools.now
+        self.heard = float("-inf")  # when bytes last came
         self.connector = None
 
     @property
@@ -64,7 +65,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
-        self.up, self.used, self.heard = True, self.pools.now, self.pools.now
+        self.up, self.used = True, self.pools.now
         waiting, self.waiting = self.waiting, []
         for call in waiting:
             self.write(call)
@@ -129,7 +130,7 @@
         """Stop waiting for a send that is out; the node is told."""
         self.out.pop(sending.id, None)
         self._remember(sending.id)
-        if self.heard <= sending.written and outcome is Outcome.TIMED_OUT:
+        if self.heard < sending.written and outcome is Outcome.TIMED_OUT:
             self.retired = True  # danger: a machine that vanished leaves its connections open and silent
         self.transport.write(frames.give_up(sending.id))
         sending.finish(outcome)
