--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -130,6 +130,9 @@
                 new.sends = server.sends if server else new.sends  # rule 4
                 self.servers[entry.server] = server = new
             server.status, server.cell, server.zone = entry.status, entry.cell, entry.zone
+        for server in [s for s in self.servers.values() if s.status is Status.GONE and not s.out]:
+            if not server.sends.total(self.now):  # rule 4: till then one that comes back is the same
+                del self.servers[server.id]  # danger: nodes replaced under new ids for days
         self.rings = {}
 
     def _ring(self, cell: int) -> list[Server]:
--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -25,6 +25,7 @@
 from tansycrank.platform.settings import ConfigError, Listing, Settings
 
 SWEEP = 0.25  # s between looks at what waits too long
+LATE = 0.1  # s a look may come late before the log says so
 TELL = 10.0  # s between lines about how it goes
 LEAVE_EVERY = 0.05  # s between looks at what is still open while leaving
 READY_WITHIN = 2.0  # s for discovery's first word; the known list serves without it
@@ -58,6 +59,7 @@
         )
         self.front = Front(reactor, settings, self.coordinator)
         self.port = None
+        self._swept = 0.0
         self.stopping = self.stopped = False
         self._calls = [LoopingCall(self._sweep), LoopingCall(self._tell)]
         for call in self._calls:
@@ -69,9 +71,10 @@
         self._take(self.settings.known, io.ListKind.CACHED)
         self.port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
         self.reactor.callLater(READY_WITHIN, self._ready)
+        self._swept = self.reactor.seconds()
         for call, every in zip(self._calls, (SWEEP, TELL), strict=True):
             call.start(every, now=False)
-        log("listening", name=self.settings.name, cores=self.settings.cores,
+        log("listening", name=self.settings.name, cores=self.settings.cores, idle_ms=self.settings.idle,
             memory_mb=self.settings.memory_mb, sockets=self.settings.sockets)
 
     def _ready(self) -> None:
@@ -159,6 +162,10 @@
     # --- now and then -----------------------------------------------------------------
 
     def _sweep(self) -> None:
+        now = self.reactor.seconds()
+        late, self._swept = now - self._swept - SWEEP, now
+        if late > LATE:
+            log("late loop turn", ms=round(late * 1000, 1))
         self.pools.sweep()
         self.front.sweep()
 
--- a/tansycrank/platform/front.py
+++ b/tansycrank/platform/front.py
@@ -153,7 +153,7 @@
         )
 
         def reply(status: int, body: bytes, more: tuple[bytes, ...]) -> None:
-            slot.answer = (status, body, more)
+            slot.answer, slot.query = (status, body, more), None
             self.flush()
 
         slot.query = front.coordinator.take(told, reply)
@@ -229,6 +229,7 @@
             if slot.query is not None:
                 self.front.coordinator.abandon(slot.query)
         self.slots.clear()
+        self.parser = None  # it holds this connection's methods: a ring that only the collector would find
 
 
 class Front(Factory):
--- a/tansycrank/platform/links.py
+++ b/tansycrank/platform/links.py
@@ -27,7 +27,7 @@
     shard: int
     text: bytes
     until: float
-    done: Done
+    done: Done | None
     link: Link | None = None  # the link that carries it, or that it waits for
     out: bool = False  # its bytes were handed to the socket
     written: float = 0.0  # when
@@ -41,7 +41,8 @@
         self.ended = True
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
-        self.done(outcome, value, load)
+        done, self.done, self.link, self.timer = self.done, None, None, None  # nothing may keep it alive
+        done(outcome, value, load)
 
 
 class Link(Protocol):
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -58,6 +58,7 @@
         """Add at this time."""
         self._entries.append((now, number))
         self._sum += number
+        self.total(now)  # danger: a sum that is seldom asked for holds every entry of its life
 
     def total(self, now: float) -> int:
         """The sum of what is younger than the span."""
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -456,3 +456,29 @@
     assert len(bench.attempts[part]) == 2
     actions = bench.step(io.AnswerBegan(part, 1, bench.attempts[part][1][1], 100.0))
     assert of(io.Cancel, actions) == [io.Cancel(part, 0)]
+
+
+def test_servers_that_are_gone_are_forgotten_once_nothing_binds_them():
+    """Danger: nodes replaced under new ids all day. Rule 4 keeps one whose window still holds a send of ours."""
+    bench = Bench(settings(), servers=(1, 2))
+    _, [part], _ = bench.query()
+    server = bench.attempts[part][0][1]
+    gone = io.ServerList(io.ListKind.CHANGES, (listed(server, status=io.Status.GONE),))
+    bench.step(gone)
+    assert server in bench.router.servers  # a part of ours is out there
+    bench.end(part, after=20.0)
+    bench.step(gone)
+    assert server in bench.router.servers  # its cold window still counts that part
+    bench.step(gone, after=bench.router.cfg.cold_window + 2 * bench.tick)
+    assert server not in bench.router.servers
+    for fresh in range(10, 200):
+        bench.step(io.ServerList(io.ListKind.CHANGES, (listed(fresh),)))
+        bench.step(io.ServerList(io.ListKind.CHANGES, (listed(fresh, status=io.Status.GONE),)))
+    assert len(bench.router.servers) == 1
+
+
+def test_a_sliding_sum_holds_its_span_alone_however_seldom_it_is_read():
+    sends = SlidingSum(100.0)
+    for now in range(10_000):
+        sends.add(float(now))
+    assert sends.total(9_999.0) == len(sends._entries) == 100
