Clients' unused connections are bounded; young ones are not closed for others

Ruled out by counts in the log: evicted connections (few in the first seconds), requests that could not be used or read (none), the open cap (none), pauses of accepting (none), the nodes (12 in use, 24 ms). A count of the connections by what they had asked, second by second, showed 128 of them, a third of the descriptors, that had asked once and lay unused: at 3 s each they let in 43 clients a second. At fault: front.py closed unused connections by age alone. Now at most a sixth of the descriptors are kept for connections unused after a query; beyond that the longest unused closes. A new connection may be silent for half a second before it gives way to another, and a full router pauses accepting instead of closing what it has not read.

--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -70,6 +70,8 @@
         host, port = self.settings.listen
         self._take(self.settings.known, io.ListKind.CACHED)
         self.port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
+        self.port.numberAccepts = configuration.ACCEPTS
+        self.front.port = self.port
         self.reactor.callLater(READY_WITHIN, self._ready)
         self._swept = self.reactor.seconds()
         for call, every in zip(self._calls, (SWEEP, TELL), strict=True):
@@ -175,7 +177,7 @@
         log("state", **self.coordinator.counts, **self.front.counts, outcomes=self.coordinator.outcomes,
             open=len(self.coordinator.queries), clients=len(self.front.connections), links=self.pools.count,
             links_opened=self.pools.opened, nodes=len(self.names), steps=loop.steps,
-            late_ms=round(loop.latest, 1), cpu_s=round(usage.ru_utime + usage.ru_stime, 2),
+            unusable_last=self.front.latest, late_ms=round(loop.latest, 1), cpu_s=round(usage.ru_utime + usage.ru_stime, 2),
             rss_mb=round(usage.ru_maxrss / 1024, 1))
         loop.latest = 0.0
 
--- a/tansycrank/platform/front.py
+++ b/tansycrank/platform/front.py
@@ -23,6 +23,8 @@
     MAX_HEAD,
     MAX_PIPELINE,
     REQUEST_WITHIN,
+    RETRY_ACCEPT,
+    SILENT,
     UNREAD,
     Settings,
 )
@@ -37,6 +39,7 @@
     keep: bool  # whether the client may go on on this connection
     answer: tuple[int, bytes, tuple[bytes, ...]] | None = None
     query: Query | None = None
+    asked: bool = False  # whether it was a query, whatever its answer
 
 
 @implementer(IPushProducer)
@@ -85,6 +88,7 @@
 
     def on_message_begin(self) -> None:
         self.in_message, self.since = True, self.front.now
+        self.front.unused.pop(self, None)
 
     def on_url(self, url: bytes) -> None:
         self.url += url
@@ -120,6 +124,8 @@
         try:
             self._dispatch(slot)
         except Refused as refused:
+            self.front.counts["unusable"] += 1
+            self.front.latest = str(refused)
             more = codec.wait(self.front.hold_off) if refused.status == 503 else ()
             slot.answer = (refused.status, codec.words(str(refused)), more)
         self._fresh()
@@ -145,6 +151,7 @@
             status = 200 if path == HEALTHY or front.ready else 503
             slot.answer = (status, b"" if method == b"HEAD" else b"{}", ())
             return
+        slot.asked = True
         if method != b"POST":
             raise Refused(405, "a query is a POST")
         settings = front.settings
@@ -169,6 +176,8 @@
             self.transport.write(codec.reply(status, body, close, *more))
             if close:
                 self.close()
+            elif last and slot.asked:
+                self.front.rests(self)
 
     def _refuse(self, status: int, words: str) -> None:
         """The connection cannot go on: an error, if nothing before it still waits, and a close."""
@@ -225,6 +234,7 @@
     def connectionLost(self, reason=connectionDone) -> None:  # noqa: N802
         self.closing = True
         self.front.connections.pop(self, None)
+        self.front.unused.pop(self, None)
         for slot in self.slots:
             if slot.query is not None:
                 self.front.coordinator.abandon(slot.query)
@@ -240,8 +250,11 @@
     def __init__(self, reactor, settings: Settings, coordinator: Coordinator) -> None:
         self.reactor, self.settings, self.coordinator = reactor, settings, coordinator
         self.connections: dict[Connection, None] = {}  # oldest first
+        self.unused: dict[Connection, None] = {}  # after a query, no other open; longest unused first
         self.ready = self.draining = False
-        self.counts = {"unreadable": 0, "evicted": 0}
+        self.counts = {"accepted": 0, "unusable": 0, "unreadable": 0, "evicted": 0, "paused": 0}
+        self.latest = ""  # why a request could not be used
+        self.port = None  # the listening port, which a full router pauses
         module = settings.module
         self.hold_off = module.hold_off_max if module.can_hold_off else 0.0
 
@@ -250,16 +263,21 @@
         """Seconds of the reactor's clock."""
         return self.reactor.seconds()
 
-    def buildProtocol(self, addr) -> Connection | None:  # noqa: N802
-        if len(self.connections) >= self.settings.max_clients and not self._make_room():
-            return None
+    def buildProtocol(self, addr) -> Connection:  # noqa: N802
         connection = Connection(self)
         self.connections[connection] = None
+        self.counts["accepted"] += 1
+        if len(self.connections) >= self.settings.max_clients and not self._make_room():
+            self._pause()
         return connection
 
     def _make_room(self) -> bool:
-        """Close the connection nobody uses: one that never said a word, else the one idle longest."""
-        unused = [connection for connection in self.connections if connection.idle]
+        """Close the connection nobody uses: one that was silent too long, else the one idle longest.
+
+        Danger: a connection whose first request is on its way, or not read yet, closed for another.
+        """
+        now = self.now
+        unused = [one for one in self.connections if one.idle and (one.spoke or now - one.since >= SILENT)]
         victim = min(unused, key=lambda one: (one.spoke, one.since), default=None)
         if victim is None:
             return False
@@ -269,6 +287,32 @@
         victim.transport.abortConnection()
         return True
 
+    def rests(self, connection: Connection) -> None:
+        """A connection has its answer. Those unused longest close, so that others find room.
+
+        Danger: clients that ask once and hold their connection, until no other can get one.
+        """
+        self.unused[connection] = None
+        if len(self.unused) > self.settings.max_unused:
+            longest = next(iter(self.unused))
+            del self.unused[longest]
+            longest.close()
+
+    def _pause(self) -> None:
+        """Take no more connections for now; they wait in the system's queue."""
+        if self.port is not None and not self.draining:
+            self.counts["paused"] += 1
+            self.port.stopReading()
+            self.reactor.callLater(RETRY_ACCEPT, self._resume)
+
+    def _resume(self) -> None:
+        if self.draining:
+            return
+        if len(self.connections) >= self.settings.max_clients and not self._make_room():
+            self.reactor.callLater(RETRY_ACCEPT, self._resume)
+        else:
+            self.port.startReading()
+
     def sweep(self) -> None:
         """Let each connection look at its clock."""
         now = self.now
--- a/tansycrank/platform/settings.py
+++ b/tansycrank/platform/settings.py
@@ -22,6 +22,7 @@
 MAX_LINE = 1024  # bytes of an answer's line
 MAX_LIST = 4 * 1024 * 1024  # bytes of one line of discovery
 REQUEST_WITHIN = 2.0  # s for a whole request, from its connection or its first byte
+SILENT = 0.5  # s a new connection may be silent before it gives way to another: its request may be on its way
 IDLE_CLIENT = 3.0  # s a client's connection may lie unused
 UNREAD = 5.0  # s a client may leave its answers unread
 LINGER = 0.25  # s between an error that ends a connection and its close
@@ -33,7 +34,10 @@
 LONGEST = 3_000.0  # ms: a longer deadline counts as this where the platform times a restart
 KILL_AFTER = 700.0  # ms from SIGTERM, on top of the longest deadline: SIGKILL comes no sooner
 KILL_MARGIN = 100.0  # ms before that: what is still open then is answered as failed
-RESERVE = 32  # descriptors for everything but clients and links
+ACCEPTS = 16  # connections taken in one reactor turn at first; so many may be held beyond the bound for a moment
+RETRY_ACCEPT = 0.02  # s until a full router looks again whether it can take a connection
+RESERVE = 64  # descriptors for everything but clients and links
+SHARE_UNUSED = 1 / 6  # of the descriptors, for clients' unused connections: clients hold a third for requests
 SHARE_CLIENTS = 0.5  # of the descriptors, for clients; the rest is for links to nodes
 
 
@@ -117,6 +121,11 @@
         """Connections of clients held at most."""
         return max(int(self.sockets * SHARE_CLIENTS), 8)
 
+    @property
+    def max_unused(self) -> int:
+        """Connections of clients kept that were used for a query and are not now."""
+        return max(int(self.sockets * SHARE_UNUSED), 8)
+
     @property
     def max_links(self) -> int:
         """Connections to nodes held at most."""
@@ -165,8 +174,8 @@
         raise ConfigError(f"NODE_CONFIG: {problem}") from problem
     if any(cls.follow_up for cls in module.classes):
         raise ConfigError("settings.familyInfo.followUp: the platform's protocol has no second step")
-    if file.limits.sockets < 64:
-        raise ConfigError(f"limits.sockets: {file.limits.sockets} are too few, 64 are needed")
+    if file.limits.sockets < 96:
+        raise ConfigError(f"limits.sockets: {file.limits.sockets} are too few, 96 are needed")
     try:
         seed = int(file.seed, 16)
     except ValueError as problem:
--- a/tests/platform/live.py
+++ b/tests/platform/live.py
@@ -142,6 +142,18 @@
     ).encode()
 
 
+class Port:
+    """The listening port, as far as a full router uses it."""
+
+    reading = True
+
+    def stopReading(self):  # noqa: N802
+        self.reading = False
+
+    def startReading(self):  # noqa: N802
+        self.reading = True
+
+
 class Live:
     """The daemon and the far ends of its connections."""
 
@@ -151,6 +163,7 @@
         self.reactor.rightNow = START
         self.daemon = Daemon(self.reactor, configuration.parse(raw or config(), {}), environ or {})
         self.daemon.start()
+        self.port = self.daemon.front.port = Port()
         self.seen = 0
         self.discovery, self.nodes = [], []
         self.run(0)
@@ -165,8 +178,6 @@
 
     def client(self):
         protocol = self.daemon.front.buildProtocol(None)
-        if protocol is None:
-            return None
         transport = Transport(protocol)
         protocol.makeConnection(transport)
         return protocol, transport
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -149,11 +149,16 @@
     assert status(half_transport.take()) == 408 and half_transport.over
 
 
-def test_silent_connections_give_way_at_the_bound(live):
+def test_silent_connections_give_way_at_the_bound_once_they_were_silent_for_a_while(live):
     client = live.client()
     live.ask(post(id="busy"), client)
-    for _ in range(200):
-        assert live.client() is not None
+    young = [live.client() for _ in range(live.daemon.settings.max_clients - 1)]
+    assert not live.port.reading  # full: the next ones wait in the system's queue
+    assert not any(transport.over for _, transport in young)
+    live.run(configuration.SILENT + 0.05)
+    assert live.port.reading and [transport.over for _, transport in young].count(True) == 1
+    for _ in range(20):
+        live.client()
     assert len(live.daemon.front.connections) <= live.daemon.settings.max_clients
     assert not client[1].over
     [(peer, id, _)] = live.sent()
@@ -162,6 +167,35 @@
     assert status(client[1].take()) == 200
 
 
+def test_connections_unused_after_a_query_are_bounded_and_the_longest_unused_close(live):
+    """Danger: clients that ask once and hold their connection, until no other can get one."""
+    bound, transports = live.daemon.settings.max_unused, []
+    held = live.client()
+    live.ask(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n", held)
+    for n in range(bound + 3):
+        transports.append(live.ask(post(id=f"r{n}")))
+        for peer, id, _ in live.sent():
+            peer.say(answer(id))
+        live.run(0)
+    assert [transport.over for transport in transports] == [True] * 3 + [False] * bound
+    assert all(status(transport.take()) == 200 for transport in transports)
+    assert not held[1].over  # who only asks whether it is ready takes no place of theirs
+
+
+def test_a_connection_in_use_again_is_not_among_the_unused(live):
+    client = live.client()
+    for n in range(live.daemon.settings.max_unused + 2):
+        other = live.ask(post(id=f"r{n}"))
+        [(peer, id, _)] = live.sent()
+        peer.say(answer(id))
+        live.run(0)
+        live.ask(post(id=f"again{n}"), client)
+        [(peer, id, _)] = live.sent()
+        peer.say(answer(id))
+        live.run(0)
+        assert not client[1].over and status(other.take()) == 200
+
+
 def test_a_client_that_does_not_read_is_cut_off(live):
     protocol, transport = live.client()
     protocol.pauseProducing()
