--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -174,11 +174,13 @@
     def _tell(self) -> None:
         usage = resource.getrusage(resource.RUSAGE_SELF)
         loop = self.coordinator.loop
-        log("state", **self.coordinator.counts, **self.front.counts, outcomes=self.coordinator.outcomes,
+        log(
+            "state", **self.coordinator.counts, **self.front.counts, outcomes=self.coordinator.outcomes,
             open=len(self.coordinator.queries), clients=len(self.front.connections), links=self.pools.count,
             links_opened=self.pools.opened, nodes=len(self.names), steps=loop.steps,
-            unusable_last=self.front.latest, late_ms=round(loop.latest, 1), cpu_s=round(usage.ru_utime + usage.ru_stime, 2),
-            rss_mb=round(usage.ru_maxrss / 1024, 1))
+            unusable_last=self.front.latest, late_ms=round(loop.latest, 1),
+            cpu_s=round(usage.ru_utime + usage.ru_stime, 2), rss_mb=round(usage.ru_maxrss / 1024, 1),
+        )
         loop.latest = 0.0
 
 
