A silent server is tried again after a time that follows the aim, not after a second

A probe at each refusal printed age, windows and flags: first tries refused at 125 of 500 ms with 30 to 50 parts in line while half the servers stood idle with room; repeats refused at once, rightly (their deadline told that the aim was past). At fault: TRIAL_FIRST and TRIAL_LAST in brain.py were 1 and 8 s, right for aims of two seconds alone: where the aim is 500 ms, a server that paused for 200 ms was set aside for two aims and more. They are shares of the shortest aim now; for aims of 2 s nothing changes.

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -39,7 +39,7 @@
 SECOND_STEP = 1.5  # timers kept for a second step when a first one is answered in part
 SPARE_ROOM = 0.5  # of a server's window is open to them, and to copies: under load a copy robs a first try
 TRIAL_TURNS = 2.0  # times between our parts at one server: a sooner trial at size would be every part
-TRIAL_FIRST, TRIAL_LAST = 1_000.0, 8_000.0  # ms until a silent server is tried again, doubling
+TRIAL_FIRST, TRIAL_LAST = 0.5, 4.0  # of the shortest aim, until a silent server is tried again, doubling
 IDLE_RESET = 0.5  # of the quickest answers: a part reset sooner met a dead connection, not a dying server
 IDLE_MARGIN = 0.8  # of the shortest time unused after which a connection was reset
 COLD_PART = 0.8  # of what the cold rule allows one core; half of the parts may meet warm keys and be light
@@ -456,7 +456,7 @@
         sick = silent or event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF, Outcome.ERROR)
         if sick and not reaped:  # that an unused connection was dropped says nothing of its server
             met = len(self.servers) * (self.now - self.began) / max(self.parts_sent, 1)
-            first = max(TRIAL_FIRST, TRIAL_TURNS * met)
+            first = max(TRIAL_FIRST * self.shortest_aim, TRIAL_TURNS * met)
             server.backoff = min(max(2 * server.backoff, first), TRIAL_LAST * first / TRIAL_FIRST)
             server.flag_until = self.now + server.backoff
         elif event.outcome is Outcome.REJECTED or event.took > self.target and not attempt.streamed:
@@ -515,7 +515,7 @@
         self.lateness += ((took > self.target) - self.lateness) / ENOUGH
         server.sketch.add(self.now, took)
         self.all.add(self.now, took)
-        server.backoff = server.backoff / 2 if server.backoff > 2 * TRIAL_FIRST else 0.0
+        server.backoff = server.backoff / 2 if server.backoff > 2 * TRIAL_FIRST * self.shortest_aim else 0.0
         server.flag_until = float("-inf")
         if self.all.count(self.now) >= ENOUGH:  # the quickest ever: a queue must not raise its bar
             self.quickest = min(self.quickest, self.all.read(self.now)[0])
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -3,6 +3,7 @@
 from helpers import Bench, listed, of, settings
 
 from tansycrank import interface as io
+from tansycrank.brain import TRIAL_FIRST
 from tansycrank.interface import Outcome
 
 NO_LATE_WORTH = io.QueryClass(aim=1000.0, give_up=4000.0, worth=1.0)
@@ -206,3 +207,16 @@
     assert not of(io.Send, acted)
     ended = [a.query for a in of(io.Answer, acted) + of(io.Shed, acted) + of(io.Fail, acted)]
     assert sorted(ended) == sorted(query for query, _, _ in queries)
+
+
+def test_a_silent_server_is_tried_again_after_a_time_that_follows_the_aim():
+    """Danger: times that fit long aims alone, so that a pause of 200 ms sets a server aside for two aims."""
+    for aim in (400.0, 4000.0):
+        bench = spread(2, io.QueryClass(aim=aim, give_up=4 * aim, worth=1.0), routers=1)
+        for _ in range(300):
+            _, (part,), _ = bench.query(shards=[0])
+            bench.end(part, after=5.0)
+        _, (part,), _ = bench.query(shards=[0])
+        server = bench.router.servers[bench.attempts[part][0][1]]
+        bench.end(part, outcome=Outcome.UNCONNECTED, after=20.0)
+        assert server.flag_until - bench.now == TRIAL_FIRST * aim
