A link silent for a connect time is left when its part is cancelled, not at time-outs alone

A probe at each refusal printed age, windows and backoffs: half the servers carried backoffs of 2 s though the nodes answered in 6 ms at the median; first tries refused at 125 of 500 ms. The log counted one time-out among 505 cancelled attempts. Ruled out: tokens (50 left), windows (most empty), the budget (none told), late loop turns (5 ms at most). At fault: links.py, give_up retired a silent link at a time-out alone; on a connection that fell silent every part ended by its twin's answer or its query's end, so the link stayed and took each trial of its node.

--- a/tansycrank/platform/links.py
+++ b/tansycrank/platform/links.py
@@ -131,8 +131,10 @@
         """Stop waiting for a send that is out; the node is told."""
         self.out.pop(sending.id, None)
         self._remember(sending.id)
-        if self.heard < sending.written and outcome is Outcome.TIMED_OUT:
-            self.retired = True  # danger: a machine that vanished leaves its connections open and silent
+        silent = self.pools.now - sending.written if self.heard < sending.written else 0.0
+        if silent >= self.pools.connect_timeout or silent and outcome is Outcome.TIMED_OUT:
+            # Danger: one that fell silent, or whose machine vanished, stays open and takes each trial of its node.
+            self.retired = True
         self.transport.write(frames.give_up(sending.id))
         sending.finish(outcome)
         self.settle()
--- a/tests/platform/test_node_links.py
+++ b/tests/platform/test_node_links.py
@@ -138,6 +138,30 @@
     assert len(node.peers) == 2
 
 
+@pytest.mark.parametrize("waited, over", [(0.3, True), (0.1, False)])
+def test_a_link_silent_for_a_connect_time_is_left_when_its_part_is_cancelled(waited, over):
+    """Danger: it ends by a twin's answer, never by time, and each trial of the node goes the same way."""
+    node = Node()
+    [sending] = node.send("a.1")
+    peer = node.peers[0].accept()
+    node.reactor.advance(waited)
+    node.pools.cancel(sending)
+    assert peer.transport.over == over
+    node.send("b.1")
+    assert len(node.peers) == 1 + over
+
+
+def test_a_link_that_spoke_meanwhile_is_kept():
+    node = Node()
+    first, second = node.send("a.1", "a.2")
+    peer = node.peers[0].accept()
+    node.reactor.advance(0.2)
+    peer.say(answer("a.2"))
+    node.reactor.advance(0.2)
+    node.pools.cancel(first)
+    assert not peer.transport.over
+
+
 def test_a_cancel_before_the_connection_is_up_sends_nothing():
     node = Node()
     first, _ = node.send("a.1", "a.2")
