--- a/tansycrank/platform/links.py
+++ b/tansycrank/platform/links.py
@@ -133,7 +133,7 @@
         self._remember(sending.id)
         silent = self.pools.now - sending.written if self.heard < sending.written else 0.0
         if silent >= self.pools.connect_timeout or silent and outcome is Outcome.TIMED_OUT:
-            # Danger: one that fell silent, or whose machine vanished, stays open and takes each trial of its node.
+            # Danger: one that fell silent, or whose machine vanished, takes each trial of its node.
             self.retired = True
         self.transport.write(frames.give_up(sending.id))
         sending.finish(outcome)
