--- a/tansycrank/platform/front.py
+++ b/tansycrank/platform/front.py
@@ -20,6 +20,7 @@
     IDLE_CLIENT,
     LINGER,
     MAX_BODY,
+    MAX_DROPPED,
     MAX_HEAD,
     MAX_PIPELINE,
     REQUEST_WITHIN,
@@ -50,6 +51,7 @@
         self.front = front
         self.slots: deque[Slot] = deque()
         self.since = front.now  # s: when what it is being waited for began
+        self.dropped = 0
         self.spoke = self.in_message = self.closing = False
         self.unread_since: float | None = None
         self.fault: tuple[int, str] | None = None
@@ -71,6 +73,9 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.closing:
+            self.dropped += len(data)
+            if self.dropped > MAX_DROPPED:  # danger: reading on what is of no use, 60 MB at full speed
+                self.transport.pauseProducing()
             return
         if self.in_head:
             self.head += len(data)
@@ -190,7 +195,6 @@
             self.in_message = False
             return
         self.closing = True
-        self.transport.pauseProducing()  # danger: reading on what is of no use, 60 MB at full speed
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
         self.front.reactor.callLater(LINGER, self.transport.abortConnection)
--- a/tansycrank/platform/settings.py
+++ b/tansycrank/platform/settings.py
@@ -26,6 +26,7 @@
 IDLE_CLIENT = 3.0  # s a client's connection may lie unused
 UNREAD = 5.0  # s a client may leave its answers unread
 LINGER = 0.25  # s between an error that ends a connection and its close
+MAX_DROPPED = 256 * 1024  # bytes read and dropped meanwhile: a close with unread bytes would lose the error
 HALF_FRAME = 0.5  # s a node's frame may take once it has begun
 IDLE_LINK = 0.8  # of the time after which a node closes an idle connection; ours goes before
 LATE_IDS = 256  # attempts given up or answered that a link still knows, for their late answers
--- a/tansycrank/router/steps.py
+++ b/tansycrank/router/steps.py
@@ -30,6 +30,7 @@
         self.reactor, self.on_broken, self.after = reactor, on_broken, after
         self.router = Router(settings, seed)
         self.steps = 0
+        self._now = float("-inf")
         self.latest = 0.0  # ms: the most that a wake-up came too late since this was last read
         self._acts = {**acts, io.Wake: self._set_wake}
         self._events: list[io.Event] = []
@@ -37,8 +38,9 @@
 
     @property
     def now(self) -> float:
-        """Milliseconds of the reactor's clock."""
-        return self.reactor.seconds() * 1000
+        """Milliseconds of the reactor's clock, never less than before: the system's may be set back."""
+        self._now = max(self._now, self.reactor.seconds() * 1000)
+        return self._now
 
     def hear(self, *events: io.Event) -> None:
         """Something happened: the next reactor turn takes a step."""
--- /dev/null
+++ b/tests/platform/test_belief.py
@@ -0,0 +1,87 @@
+"""What the module believes against what passes on the links; and that nothing is kept of what is gone."""
+
+import random
+
+from live import START, Live, answer, entry, post
+from test_discovery import HEAD, line
+
+
+def out(live):
+    """Parts out by node: as the module believes, and as the links have them."""
+    believed = {s.id: s.out for s in live.daemon.coordinator.loop.router.servers.values() if s.out}
+    pools = live.daemon.pools
+    held = {n.server: sum(link.load for link in n.links) for n in pools.nodes.values()}
+    return believed, {server: load for server, load in held.items() if load}
+
+
+def test_parts_out_and_times_agree_with_the_links():
+    live, rng = Live(), random.Random(5)
+    live.discovery[0].refuse()
+    open_parts, sent_at = [], {}
+    for n in range(300):
+        if rng.random() < 0.6:
+            live.ask(post(id=f"r{n}", shards=((n % 9, 0.5), ((n + 1) % 9, 0.5)), deadline=1900))
+        for peer, id, _ in live.sent():
+            open_parts.append((peer, id))
+            sent_at[id] = live.reactor.seconds()
+        believed, held = out(live)
+        assert believed == held
+        if open_parts and rng.random() < 0.8:
+            peer, id = open_parts.pop(rng.randrange(len(open_parts)))
+            if not peer.transport.over:
+                kind = rng.random()
+                peer.transport.end() if kind < 0.05 else peer.say(answer(id, "err" if kind < 0.1 else "ok"))
+        live.run(0.005)
+    live.run(3)
+    assert out(live) == ({}, {})
+    coordinator = live.daemon.coordinator
+    assert sum(coordinator.outcomes.values()) == coordinator.counts["sends"] > 100
+
+
+def test_took_is_the_time_between_write_and_answer():
+    live = Live()
+    live.ask(post())
+    [(peer, id, _)] = live.sent()
+    live.run(0.03)
+    peer.say(answer(id))
+    live.run(0)
+    assert 25.0 <= live.daemon.coordinator.loop.router.all.read(live.daemon.coordinator.loop.now)[0] <= 40.0
+
+
+def test_a_clock_set_back_never_reaches_the_module():
+    live = Live()
+    before = live.daemon.coordinator.loop.now
+    live.reactor.rightNow = START - 3600.0
+    live.daemon.coordinator.loop.hear()
+    live.run(0)
+    assert live.daemon.coordinator.loop.now >= before
+    assert live.daemon.coordinator.loop.router.now >= before
+
+
+def test_nothing_is_kept_of_thousands_of_clients_queries_and_nodes():
+    live = Live()
+    watch = live.discovery[0].accept()
+    watch.say(HEAD)
+    for n in range(1500):
+        client = live.client()
+        live.ask(post(id=f"r{n}", shards=((n % 9, 1.0),)), client)
+        for peer, id, _ in live.sent():
+            peer.say(answer(id))
+        live.run(0)
+        client[1].end()
+        live.nodes = [peer for peer in live.nodes if not peer.transport.over]
+        if n % 10 == 0:
+            old, new = n // 10 + 1, n // 10 + 4
+            replaced = entry(new, addr=f"127.0.1.{new % 250 + 1}:7070")
+            watch.say(line(5 + n, replaced, entry(old, "terminated")))
+            live.run(1.0)
+            watch.say(b"1\r\n\n\r\n")
+    live.run(3)
+    coordinator, router = live.daemon.coordinator, live.daemon.coordinator.loop.router
+    assert coordinator.counts["taken"] == 1500
+    assert not coordinator.queries and not coordinator._parts and not coordinator._by_number
+    assert not router.queries and not router.numbers and not router.parts and not router.out
+    assert not live.daemon.front.connections and not live.daemon.front.unused
+    assert len(router.servers) <= 6 and len(live.daemon.names) < 100
+    assert len(live.daemon.pools.nodes) == 3 and live.daemon.pools.count <= 6
+    assert len(router.agenda) < 100 and len(router.taken._entries) < 100
