One factory for outgoing connections; dead and derivable pieces of the live service out

The factory of one outgoing connection stood four times (two in platform/, the links and their cancels in router/links.py): router/connecting.OneConnection serves all four. Out: a seed of the global generator that nobody draws from, a send's node that nobody reads, a second counter of queries (the query's id is its number, as in the SQL router), a status that is never sent, lower bounds that 96 descriptors already grant, the listening port held in two places. Once instead of twice: whether a full router can make room, retiring a link, the first trial's time in the module.

Behaviour as before.

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -78,6 +78,7 @@
         self.longest: dict[int, float] = {}  # by class: the longest time a first try was given
         self.ask_backoff, self.shortest_aim = ASK_BACKOFF, min(cls.aim for cls in settings.classes)
         self.usual = float("inf")  # ms: the least median, the pace of a cold server's work
+        self.trial = TRIAL_FIRST * self.shortest_aim  # ms until a silent server is first tried again
         self.quickest, self.target = float("inf"), self.shortest_aim  # ms: an answer later than that is slow
         self.hear = {io.AttemptEnded: self._ended, io.QueryArrived: self._query_arrived,
                      io.PartArrived: self._part_came, io.QueryGone: self._gone, io.ServerList: self._listed,
@@ -456,7 +457,7 @@
         sick = silent or event.outcome in (Outcome.UNCONNECTED, Outcome.BROKEN_OFF, Outcome.ERROR)
         if sick and not reaped:  # that an unused connection was dropped says nothing of its server
             met = len(self.servers) * (self.now - self.began) / max(self.parts_sent, 1)
-            first = max(TRIAL_FIRST * self.shortest_aim, TRIAL_TURNS * met)
+            first = max(self.trial, TRIAL_TURNS * met)
             server.backoff = min(max(2 * server.backoff, first), TRIAL_LAST * first / TRIAL_FIRST)
             server.flag_until = self.now + server.backoff
         elif event.outcome is Outcome.REJECTED or event.took > self.target and not attempt.streamed:
@@ -515,7 +516,7 @@
         self.lateness += ((took > self.target) - self.lateness) / ENOUGH
         server.sketch.add(self.now, took)
         self.all.add(self.now, took)
-        server.backoff = server.backoff / 2 if server.backoff > 2 * TRIAL_FIRST * self.shortest_aim else 0.0
+        server.backoff = server.backoff / 2 if server.backoff > 2 * self.trial else 0.0
         server.flag_until = float("-inf")
         if self.all.count(self.now) >= ENOUGH:  # the quickest ever: a queue must not raise its bar
             self.quickest = min(self.quickest, self.all.read(self.now)[0])
--- a/tansycrank/platform/coordinator.py
+++ b/tansycrank/platform/coordinator.py
@@ -50,7 +50,7 @@
         self.queries: dict[bytes, Query] = {}  # by the client's id
         self._by_number: dict[int, Query] = {}
         self._parts: dict[int, tuple[Query, Part]] = {}
-        self._ids = self._number = 0
+        self._ids = 0
         self.held = 0  # queries and parts open
         self.until = float("inf")  # ms: this router ends then; what it takes has to be answered before
         self.counts = dict.fromkeys(
@@ -84,10 +84,9 @@
         if time_left <= 0:
             raise Refused(503, "the router is shutting down")
         self._ids += 1
-        self._number += 1
         query = Query(self._ids, request, reply)
         events: list[io.Event] = [io.QueryArrived(
-            query.id, self._number, request.query_class, time_left, len(request.parts), request.key,
+            query.id, query.id, request.query_class, time_left, len(request.parts), request.key,
             request.repeat,
         )]
         for shard, weight, key in request.parts:
@@ -95,7 +94,7 @@
             part = Part(self._ids, b"%b.%d" % (request.id, shard), shard)
             query.parts.append(part)
             self._parts[part.id] = query, part
-            events.append(io.PartArrived(part.id, self._number, shard, weight, key))
+            events.append(io.PartArrived(part.id, query.id, shard, weight, key))
         self.queries[request.id] = self._by_number[query.id] = query
         self.held += 1 + len(query.parts)
         self.counts["taken"] += 1
--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -5,7 +5,6 @@
 import gc
 import logging
 import os
-import random
 import resource
 import signal
 import sys
@@ -58,7 +57,6 @@
             self.discovery.fetch,
         )
         self.front = Front(reactor, settings, self.coordinator)
-        self.port = None
         self._swept = 0.0
         self.stopping = self.stopped = False
         self._calls = [LoopingCall(self._sweep), LoopingCall(self._tell)]
@@ -69,9 +67,8 @@
         """Listen, take the known list, ask discovery."""
         host, port = self.settings.listen
         self._take(self.settings.known, io.ListKind.CACHED)
-        self.port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
-        self.port.numberAccepts = configuration.ACCEPTS
-        self.front.port = self.port
+        self.front.port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
+        self.front.port.numberAccepts = configuration.ACCEPTS
         self.reactor.callLater(READY_WITHIN, self._ready)
         self._swept = self.reactor.seconds()
         for call, every in zip(self._calls, (SWEEP, TELL), strict=True):
@@ -137,7 +134,7 @@
         self.reactor.callLater(self.settings.stop_within / 1000, self._give_up)
 
     def _stop_taking(self) -> None:
-        self.port.stopListening()
+        self.front.port.stopListening()
         self.front.draining = True
         self._leave()
 
@@ -197,7 +194,6 @@
     epollreactor.install()
     from twisted.internet import reactor
 
-    random.seed(settings.seed)
     daemon = Daemon(reactor, settings, os.environ)
 
     def on_signal(number: int, act) -> None:
--- a/tansycrank/platform/discovery.py
+++ b/tansycrank/platform/discovery.py
@@ -6,9 +6,10 @@
 
 import httptools
 import msgspec
-from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 
 from tansycrank.platform.settings import BEAT, CALL_WITHIN, MAX_LIST, Listing
+from tansycrank.router.connecting import OneConnection
 
 _LISTING = msgspec.json.Decoder(Listing)
 
@@ -82,21 +83,8 @@
         self.on_end(good)
 
 
-class _Calling(ClientFactory):
-    noisy = False
-
-    def __init__(self, call: Call) -> None:
-        self.call = call
-
-    def buildProtocol(self, addr) -> Call:  # noqa: N802
-        return self.call
-
-    def clientConnectionFailed(self, connector, reason) -> None:  # noqa: N802
-        self.call.end(False)
-
-
 class Discovery:
-    """The watch that the module asked for; `heard` gets each listing and whether it is whole,
+    """The watch that the module asked for; `heard` gets each listing,
     `failed` that a call or the watch has ended without being asked to.
     """
 
@@ -147,7 +135,8 @@
                 self.failed()
 
         call = Call(request.encode(), watch, self.reactor, line, ended)
-        call.connector = self.reactor.connectTCP(self.host, self.port, _Calling(call), timeout=CALL_WITHIN)
+        factory = OneConnection(call, call.connectionLost)
+        call.connector = self.reactor.connectTCP(self.host, self.port, factory, timeout=CALL_WITHIN)
         return call
 
     def stop(self) -> None:
--- a/tansycrank/platform/front.py
+++ b/tansycrank/platform/front.py
@@ -185,15 +185,14 @@
                 self.front.rests(self)
 
     def _refuse(self, status: int, words: str) -> None:
-        """The connection cannot go on: an error, if nothing before it still waits, and a close."""
-        if not self.slots:
-            self.transport.write(codec.reply(status, codec.words(words), True))
+        """The connection cannot go on: an error and a close."""
         self.front.counts["unreadable"] += 1
         if self.slots:  # answers before it are still owed; the close follows the last of them
             self.slots.append(Slot(False, (status, codec.words(words), ())))
             self.transport.pauseProducing()
             self.in_message = False
             return
+        self.transport.write(codec.reply(status, codec.words(words), True))
         self.closing = True
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
@@ -271,10 +270,14 @@
         connection = Connection(self)
         self.connections[connection] = None
         self.counts["accepted"] += 1
-        if len(self.connections) >= self.settings.max_clients and not self._make_room():
+        if self._full():
             self._pause()
         return connection
 
+    def _full(self) -> bool:
+        """Whether all are held that may be, and none of them can be closed for another."""
+        return len(self.connections) >= self.settings.max_clients and not self._make_room()
+
     def _make_room(self) -> bool:
         """Close the connection nobody uses: one that was silent too long, else the one idle longest.
 
@@ -312,7 +315,7 @@
     def _resume(self) -> None:
         if self.draining:
             return
-        if len(self.connections) >= self.settings.max_clients and not self._make_room():
+        if self._full():
             self.reactor.callLater(RETRY_ACCEPT, self._resume)
         else:
             self.port.startReading()
--- a/tansycrank/platform/links.py
+++ b/tansycrank/platform/links.py
@@ -9,11 +9,12 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 
 from tansycrank.interface import Outcome
 from tansycrank.platform import frames
 from tansycrank.platform.settings import HALF_FRAME, IDLE_LINK, LATE_IDS
+from tansycrank.router.connecting import OneConnection
 
 Done = Callable[[Outcome, str, tuple[float, ...]], None]
 
@@ -23,12 +24,11 @@
     """One send, from the module's word to its outcome. Times are s of the reactor."""
 
     id: bytes
-    server: int
     shard: int
     text: bytes
     until: float
     done: Done | None
-    link: Link | None = None  # the link that carries it, or that it waits for
+    link: Link | None = None  # the link that carries it
     out: bool = False  # its bytes were handed to the socket
     written: float = 0.0  # when
     ended: bool = False
@@ -98,7 +98,7 @@
                     last = None
                 if isinstance(record, frames.Unusable):
                     self.pools.log("node could not use a frame", node=self.node.server, words=record.words)
-                    return self.spoilt(None)
+                    return self.close()
                 if record.id not in self.out and record.id not in self.past:
                     raise frames.FrameError(f"an answer to {record.id[:60]!r}, which is not out")
                 last = record
@@ -139,15 +139,19 @@
         sending.finish(outcome)
         self.settle()
 
+    def retire(self) -> None:
+        """Take nothing new."""
+        self.retired = True
+        self.settle()
+
     def settle(self) -> None:
         """Close once nothing is left on a link that takes nothing new."""
         if self.retired and not self.load and self.transport is not None:
             self.close()
 
-    def spoilt(self, problem: frames.FrameError | None) -> None:
+    def spoilt(self, problem: frames.FrameError) -> None:
         """The stream is of no further use: what is out may have run."""
-        if problem is not None:
-            self.pools.log("spoilt answer", node=self.node.server, problem=str(problem), out=len(self.out))
+        self.pools.log("spoilt answer", node=self.node.server, problem=str(problem), out=len(self.out))
         self.close()
 
     def close(self) -> None:
@@ -162,7 +166,7 @@
     def connectionLost(self, reason=connectionDone) -> None:  # noqa: N802
         self.gone()
 
-    def gone(self) -> None:
+    def gone(self, reason=None) -> None:
         """The connection ended, or never came up."""
         if self.lost:
             return
@@ -178,19 +182,6 @@
                 sending.finish(Outcome.UNCONNECTED)
 
 
-class _Connecting(ClientFactory):
-    noisy = False
-
-    def __init__(self, link: Link) -> None:
-        self.link = link
-
-    def buildProtocol(self, addr) -> Link:  # noqa: N802
-        return self.link
-
-    def clientConnectionFailed(self, connector, reason) -> None:  # noqa: N802
-        self.link.gone()
-
-
 @dataclass(slots=True, eq=False)
 class Node:
     """The links of one node and the sends of the step that is being carried out."""
@@ -225,30 +216,21 @@
         """Where a node is. One that moved gets new links; the old ones end with what is out."""
         node = self.nodes.get(server)
         if node is not None and (node.host, node.port) != (host, port):
-            self._retire(node)
-            node = None
-        if node is None:
+            self.forget(server)
+        if server not in self.nodes:
             self.nodes[server] = Node(server, host, port)
 
     def forget(self, server: int) -> None:
         """A node is gone: its links close once nothing is out on them."""
         if node := self.nodes.pop(server, None):
-            self._retire(node)
+            for link in list(node.links):
+                link.retire()
 
     def close_idle(self, server: int) -> None:
         """Close the unused links of a node."""
         if node := self.nodes.get(server):
             for link in [link for link in node.links if link.up and not link.load]:
-                self._retire_link(link)
-
-    def _retire(self, node: Node) -> None:
-        for link in list(node.links):
-            self._retire_link(link)
-
-    def _retire_link(self, link: Link) -> None:
-        link.retired = True
-        if link.up:
-            link.settle()
+                link.retire()
 
     def close(self) -> None:
         """Close all links."""
@@ -273,7 +255,7 @@
 
         `done` is never called before this returns.
         """
-        sending = Sending(id, server, shard, text, self.now + time_out / 1000, done)
+        sending = Sending(id, shard, text, self.now + time_out / 1000, done)
         node = self.nodes.get(server)
         if node is None:
             self.reactor.callLater(0, sending.finish, Outcome.UNCONNECTED)
@@ -333,7 +315,7 @@
         self.count += 1
         self.opened += 1
         link.connector = self.reactor.connectTCP(
-            node.host, node.port, _Connecting(link), timeout=self.connect_timeout
+            node.host, node.port, OneConnection(link, link.gone), timeout=self.connect_timeout
         )
         return link
 
--- a/tansycrank/platform/names.py
+++ b/tansycrank/platform/names.py
@@ -35,13 +35,13 @@
         places = {}
         listed = []
         for entry in entries:
-            known = entry.id in self._numbers
-            if entry.state == "terminated" and not known:
-                continue
-            if not known:
+            status = STATES[entry.state]
+            if entry.id not in self._numbers:
+                if status is io.Status.GONE:
+                    continue
                 self._last += 1
                 self._numbers[entry.id] = self._last
-            number, status = self._numbers[entry.id], STATES[entry.state]
+            number = self._numbers[entry.id]
             if status is io.Status.GONE:
                 self._gone.setdefault(entry.id, now)
                 places[number] = ""
--- a/tansycrank/platform/request.py
+++ b/tansycrank/platform/request.py
@@ -16,7 +16,7 @@
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
     409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
-    500: "Internal Server Error", 503: "Service Unavailable", 504: "Gateway Timeout",
+    503: "Service Unavailable", 504: "Gateway Timeout",
 }
 
 
--- a/tansycrank/platform/settings.py
+++ b/tansycrank/platform/settings.py
@@ -120,12 +120,12 @@
     @property
     def max_clients(self) -> int:
         """Connections of clients held at most."""
-        return max(int(self.sockets * SHARE_CLIENTS), 8)
+        return int(self.sockets * SHARE_CLIENTS)
 
     @property
     def max_unused(self) -> int:
         """Connections of clients kept that were used for a query and are not now."""
-        return max(int(self.sockets * SHARE_UNUSED), 8)
+        return int(self.sockets * SHARE_UNUSED)
 
     @property
     def max_links(self) -> int:
--- a/tansycrank/router/links.py
+++ b/tansycrank/router/links.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from twisted.internet import error
-from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.internet.protocol import Protocol
 from twisted.protocols.basic import LineReceiver
 
 from tansycrank.interface import Outcome
@@ -22,6 +22,7 @@
     PgError,
     ProtocolError,
 )
+from tansycrank.router.connecting import OneConnection
 
 READ_AT_ONCE = 16 * 1024  # bytes
 REQUEST_KEY = "tansycrank.request_key"
@@ -167,9 +168,9 @@
         if self.key is not None:
             self._cancel_open = True
             peer = self.transport.getPeer()
-            self.reactor.connectTCP(
-                peer.host, peer.port, _CancelFactory(self.key, self._cancel_closed), timeout=self.cancel_grace
-            )
+            canceller = _Canceller(self.key, self._cancel_closed)
+            factory = OneConnection(canceller, canceller.connectionLost)
+            self.reactor.connectTCP(peer.host, peer.port, factory, timeout=self.cancel_grace)
 
     def abort(self) -> None:
         """Close at once."""
@@ -232,6 +233,11 @@
         if done is not None:
             done(ended)
 
+    def never_up(self, reason) -> None:
+        """Its connection could not be made."""
+        if not reason.check(error.UserError) or self.state == "starting":
+            self._lost(None)
+
     def _lost(self, problem: PgError | None) -> None:
         if self.state == "closed":
             return
@@ -309,33 +315,4 @@
         self.done()
 
 
-class _CancelFactory(ClientFactory):
-    noisy = False
-
-    def __init__(self, key: tuple[int, int], done: Callable[[], None]) -> None:
-        self.key, self.done = key, done
-
-    def buildProtocol(self, addr) -> Protocol:  # noqa: N802
-        return _Canceller(self.key, self.done)
-
-    def clientConnectionFailed(self, connector, reason) -> None:  # noqa: N802
-        self.done()
-
-
-class LinkFactory(ClientFactory):
-    """Connects one link."""
-
-    noisy = False
-
-    def __init__(self, link: NodeLink) -> None:
-        self.link = link
-
-    def buildProtocol(self, addr) -> NodeLink:  # noqa: N802
-        return self.link
-
-    def clientConnectionFailed(self, connector, reason) -> None:  # noqa: N802
-        if not reason.check(error.UserError) or self.link.state == "starting":
-            self.link._lost(None)
-
-
-__all__ = ["Ended", "LinkFactory", "NodeLink", "PartRequest", "refused_outcome"]
+__all__ = ["Ended", "NodeLink", "PartRequest", "refused_outcome"]
--- a/tansycrank/router/pool.py
+++ b/tansycrank/router/pool.py
@@ -10,7 +10,8 @@
 
 from tansycrank.interface import Outcome
 from tansycrank.merge.blocks import PartStream
-from tansycrank.router.links import Ended, LinkFactory, NodeLink, PartRequest, refused_outcome
+from tansycrank.router.connecting import OneConnection
+from tansycrank.router.links import Ended, NodeLink, PartRequest, refused_outcome
 
 
 @dataclass(slots=True, eq=False)
@@ -174,6 +175,5 @@
                 node.waiting.pop(0).finish(Ended(refused_outcome(refusal), error=refusal))
 
         link.on_ready, link.on_lost = ready, lost
-        self.reactor.connectTCP(
-            node.host, node.port, LinkFactory(link), timeout=self.store.connect_timeout_ms / 1000
-        )
+        factory = OneConnection(link, link.never_up)
+        self.reactor.connectTCP(node.host, node.port, factory, timeout=self.store.connect_timeout_ms / 1000)
--- a/tests/platform/live.py
+++ b/tests/platform/live.py
@@ -153,6 +153,9 @@
     def startReading(self):  # noqa: N802
         self.reading = True
 
+    def stopListening(self):  # noqa: N802
+        self.reading = False
+
 
 class Live:
     """The daemon and the far ends of its connections."""
