What follows an unreadable request is dropped; a list asked for once may have several lines

Found in reading the change once more, each with a test that failed before. front.py: an unreadable request behind one that is still owed an answer took a place in line for every further read, past the stated bound of 32, once the client read its answers again (52 places after 50 reads). The connection's fault is now kept, and what follows is dropped as after any other. discovery.py: Call.on_body cut at line ends for a whole list asked for once too and kept the last line alone, so one that ends in a line end could not be read.

--- a/tansycrank/platform/discovery.py
+++ b/tansycrank/platform/discovery.py
@@ -47,11 +47,11 @@
         if not self.good or self.ended:
             return
         self.buffer += body
-        *lines, rest = self.buffer.split(b"\n")
-        self.buffer = rest
-        for line in lines if self.watch else ():
-            if line.strip() and not self.ended:
-                self._line(line)
+        if self.watch:  # an object a line; a list asked for once is one object, however many lines it has
+            *lines, self.buffer = self.buffer.split(b"\n")
+            for line in lines:
+                if line.strip() and not self.ended:
+                    self._line(line)
         if len(self.buffer) > MAX_LIST:
             self.end(False)
 
--- a/tansycrank/platform/front.py
+++ b/tansycrank/platform/front.py
@@ -72,7 +72,7 @@
         self.transport.registerProducer(self, True)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        if self.closing:
+        if self.closing or self.fault is not None:
             self.dropped += len(data)
             if self.dropped > MAX_DROPPED:  # danger: reading on what is of no use, 60 MB at full speed
                 self.transport.pauseProducing()
@@ -187,6 +187,7 @@
     def _refuse(self, status: int, words: str) -> None:
         """The connection cannot go on: an error and a close."""
         self.front.counts["unreadable"] += 1
+        self.fault = (status, words)  # danger: what follows would be refused anew, a place in line each time
         if self.slots:  # answers before it are still owed; the close follows the last of them
             self.slots.append(Slot(False, (status, codec.words(words), ())))
             self.transport.pauseProducing()
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -82,6 +82,19 @@
     assert len(live.discovery) == 2
 
 
+def test_the_whole_list_once_may_be_written_over_several_lines(live):
+    live.daemon.discovery.fetch()
+    live.run(0)
+    call = live.discovery[1].accept()
+    assert call.transport.take().startswith(b"GET /api/targets HTTP/1.1\r\n")
+    told = {"version": 9, "full": True, "servers": [entry(2), entry(4)]}
+    text = json.dumps(told, indent=1).encode() + b"\n"
+    call.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
+    live.run(0)
+    assert states(live) == {2: io.Status.READY, 4: io.Status.READY}
+    assert len(live.discovery) == 2 and not live.daemon.discovery.calls
+
+
 def test_beats_keep_a_watch(live):
     live.watch.say(HEAD)
     for _ in range(6):
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -156,6 +156,21 @@
     assert written.index(b'"doc":"1"') < written.index(b'"doc":"2"')
 
 
+def test_what_follows_an_unreadable_request_is_dropped_while_answers_before_it_are_owed(live):
+    protocol, transport = client = live.client()
+    live.ask(post(id="good") + b"\x16\x03\x01\r\n\r\n", client)
+    assert len(protocol.slots) == 2
+    protocol.resumeProducing()  # its answers are read again: more may come
+    for _ in range(50):
+        protocol.dataReceived(b"\x16\x03\x01\r\n\r\n")
+    assert len(protocol.slots) == 2
+    [(peer, id, _)] = live.sent()
+    peer.say(answer(id))
+    live.run(0)
+    written = transport.take()
+    assert written.count(b"HTTP/1.1 ") == 2 and written.startswith(b"HTTP/1.1 200") and transport.over
+
+
 def test_hundreds_of_requests_at_once_stay_bounded(live):
     transport = live.ask(b"".join(post(id=f"r{n}") for n in range(300)))
     assert len(live.daemon.coordinator.queries) <= configuration.MAX_PIPELINE
