What waits for a socket is taken back when its query ends or its node drains

Now the socket has one frame at a time and the system's word tells when it has gone; what may not begin any more has 0.1 s (half of the drain grace at most) to go, then its link closes. - An id used again goes to another link than one that may still answer it. Ruled out: a list that arrives between choice and write (one step carries both). Each new test was seen to fail with its guard removed.

--- a/tansycrank/platform/coordinator.py
+++ b/tansycrank/platform/coordinator.py
@@ -130,6 +130,7 @@
             self.outcomes[outcome.value] += 1
             if outcome is io.Outcome.ANSWERED and part.value is None:
                 part.value = value
+                self._withdraw(part)
             took = self.loop.now - began
             self.loop.hear(io.AttemptEnded(
                 part.id, number, action.server, outcome, took, query.ended, load
@@ -180,8 +181,14 @@
         del self.queries[query.request.id], self._by_number[query.id]
         self.held -= 1 + len(query.parts)
         for part in query.parts:
+            self._withdraw(part)
             self._forget(part)
 
+    def _withdraw(self, part: Part) -> None:
+        """Danger: a part that starts after its query's end, where nodes take no cancels."""
+        for sending in part.attempts:
+            self.pools.withdraw(sending)
+
     def _forget(self, part: Part) -> None:
         if all(sending.ended for sending in part.attempts):
             self._parts.pop(part.id, None)
--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -47,7 +47,7 @@
         self.names = Names(settings.zones)
         self.pools = Pools(
             reactor, settings.streams, settings.module.call_parts, settings.connect_timeout, settings.idle,
-            settings.max_links, log,
+            settings.max_links, log, settings.module.drain_grace,
         )
         self.discovery = Discovery(
             reactor, *settings.discovery, lambda: self.names.version, self.heard, self.failed
@@ -117,6 +117,9 @@
                     self.pools.forget(server)
             except ConfigError as problem:
                 unusable.append(str(problem))
+        for one in event.entries:
+            if one.status is io.Status.DRAINING:
+                self.pools.hold_back(one.server)
         if unusable:
             log("nodes without a usable address", nodes=len(unusable), problem=unusable[0])
         self.coordinator.loop.hear(event)
--- a/tansycrank/platform/links.py
+++ b/tansycrank/platform/links.py
@@ -1,19 +1,21 @@
 """Connections to data nodes: pools, calls, and exactly one outcome for each send. It chooses no node.
 
-"Never ran" is said only of a send whose bytes never left this process.
+"Never ran" is said only of a send whose frame the system has not taken to its last byte.
 """
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import Protocol, connectionDone
+from zope.interface import implementer
 
 from tansycrank.interface import Outcome
 from tansycrank.platform import frames
-from tansycrank.platform.settings import HALF_FRAME, IDLE_LINK, LATE_IDS
+from tansycrank.platform.settings import HALF_FRAME, IDLE_LINK, LATE_IDS, UNTAKEN
 from tansycrank.router.connecting import OneConnection
 
 Done = Callable[[Outcome, str, tuple[float, ...]], None]
@@ -28,7 +30,7 @@
     text: bytes
     until: float
     done: Done | None
-    link: Link | None = None  # the link that carries it
+    link: Link | None = None  # the link that carries it or will
     out: bool = False  # its bytes were handed to the socket
     written: float = 0.0  # when
     ended: bool = False
@@ -49,13 +51,22 @@
         done(outcome, value, load)
 
 
+@implementer(IPullProducer)
 class Link(Protocol):
-    """One connection. `waiting` are sends that need it up, `out` those it carries, by id."""
+    """One connection. `waiting` are calls that its socket was not given, `out` the sends it was, by id.
+
+    The socket is given one frame at a time, the next once the system has taken all of it. What waits here can
+    be taken back; and of the last frame it is known whether all of it has gone.
+    """
 
     def __init__(self, pools: Pools, node: Node) -> None:
         self.pools, self.node = pools, node
         self.up = self.retired = self.lost = False
-        self.waiting: list[list[Sending]] = []
+        self.waiting: deque[list[Sending]] = deque()
+        self.going: list[Sending] = []  # of the frame that the system has not taken to its end
+        self.words: list[bytes] = []  # ids to be given up, once that frame has gone
+        self.taken = False  # whether the system has all that the socket was given
+        self.doubt = None  # the timer of a frame that may not begin any more
         self.out: dict[bytes, Sending] = {}
         self.past: OrderedDict[bytes, None] = OrderedDict()  # ids whose answers may still come, or come again
         self.reader = frames.Reader()
@@ -71,25 +82,68 @@
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
         self.up, self.used = True, self.pools.now
-        waiting, self.waiting = self.waiting, []
-        for call in waiting:
-            self.write(call)
+        self.transport.registerProducer(self, False)  # which asks for the first frame
         self.settle()
 
-    def write(self, call: list[Sending]) -> None:
-        """Send one call; what has ended meanwhile stays behind (danger: a part after its final answer)."""
-        now = self.pools.now
-        call = [sending for sending in call if not sending.ended]
-        if not call:
-            return
+    def resumeProducing(self) -> None:  # noqa: N802
+        """The system has taken all that the socket was given."""
+        self.taken, self.going = True, []
+        if self.doubt is not None:
+            self.doubt.cancel()
+            self.doubt = None
+        self._push()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """The socket is gone."""
+
+    def carry(self, call: list[Sending]) -> None:
+        """Send one call, once its turn comes."""
         for sending in call:
-            sending.out, sending.written, sending.link = True, now, self
-            self.out[sending.id] = sending
-            self.past.pop(sending.id, None)
-        self.used = now
-        self.transport.write(frames.call(
-            (s.id, s.shard, max(int((s.until - now) * 1000), 1), s.text) for s in call
-        ))
+            sending.link = self
+        self.waiting.append(call)
+        self._push()
+
+    def _push(self) -> None:
+        """Give the socket the next frame; what has ended stays behind: no part after its final answer."""
+        while self.up and self.taken and not self.lost and (self.words or self.waiting):
+            now = self.pools.now
+            if self.words:
+                words, self.words = self.words, []
+                call, data = [], b"".join(frames.give_up(id) for id in words)
+            else:
+                call = [sending for sending in self.waiting.popleft() if not sending.ended]
+                if not call:
+                    continue
+                for sending in call:
+                    sending.out, sending.written = True, now
+                    self.out[sending.id] = sending
+                data = frames.call((s.id, s.shard, max(int((s.until - now) * 1000), 1), s.text) for s in call)
+            self.used, self.taken, self.going = now, False, call
+            self.transport.write(data)
+
+    def withdraw(self, sending: Sending) -> None:
+        """It may not begin any more: its client has left, its part is answered, or its node was told to go.
+
+        Danger: a node that hangs reads on when it wakes, and starts what was given up long ago.
+        A frame of which nobody knows whether it has begun has `UNTAKEN` to go, then the link closes.
+        """
+        if not sending.out:
+            sending.finish(Outcome.NOT_SENT)
+            self.settle()
+        elif sending in self.going and self.doubt is None:
+            self.doubt = self.pools.reactor.callLater(self.pools.untaken, self._close_untaken)
+
+    def _close_untaken(self) -> None:
+        self.doubt = None
+        self.pools.log("a frame its node does not take", node=self.node.server, out=len(self.out))
+        self.close()
+
+    def hold_back(self) -> None:
+        """Nothing new begins here: the node drains or is gone."""
+        for sending in [sending for call in self.waiting for sending in call if not sending.ended]:
+            self.withdraw(sending)
+        if self.going:
+            self.withdraw(self.going[0])
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self.heard = self.pools.now
@@ -133,13 +187,15 @@
 
     def give_up(self, sending: Sending, outcome: Outcome) -> None:
         """Stop waiting for a send that is out; the node is told."""
+        self.withdraw(sending)
         self.out.pop(sending.id, None)
         self._remember(sending.id)
         silent = self.pools.now - sending.written if self.heard < sending.written else 0.0
         if silent >= self.pools.connect_timeout or silent and outcome is Outcome.TIMED_OUT:
             # Danger: one that fell silent, or whose machine vanished, takes each trial of its node.
             self.retired = True
-        self.transport.write(frames.give_up(sending.id))
+        self.words.append(sending.id)
+        self._push()
         sending.finish(outcome)
         self.settle()
 
@@ -150,7 +206,7 @@
 
     def settle(self) -> None:
         """Close once nothing is left on a link that takes nothing new."""
-        if self.retired and not self.load and self.transport is not None:
+        if self.retired and not self.load:
             self.close()
 
     def spoilt(self, problem: frames.FrameError) -> None:
@@ -176,11 +232,16 @@
             return
         self.lost = True
         self.node.links.discard(self)
-        self.pools.count -= 1
+        self.pools.links.discard(self)
+        if self.doubt is not None:
+            self.doubt.cancel()
+            self.doubt = None
         out, self.out = self.out, {}
-        waiting, self.waiting = self.waiting, []
+        waiting, self.waiting = self.waiting, deque()
+        going, self.going = self.going, []
         for sending in out.values():
-            sending.finish(Outcome.BROKEN_OFF)
+            # What broke before its frame's last byte left never ran.
+            sending.finish(Outcome.UNCONNECTED if sending in going else Outcome.BROKEN_OFF)
         for call in waiting:
             for sending in call:
                 sending.finish(Outcome.UNCONNECTED)
@@ -202,13 +263,15 @@
 
     def __init__(
         self, reactor, streams: int, call_parts: int, connect_timeout: float, idle: float, max_links: int,
-        log: Callable[..., None],
+        log: Callable[..., None], drain_grace: float = float("inf"),
     ) -> None:
-        """`connect_timeout` and `idle` (after which nodes close unused connections) are ms."""
+        """`connect_timeout`, `idle` (after which nodes close unused connections) and `drain_grace` are ms."""
         self.reactor, self.streams, self.call_parts, self.log = reactor, streams, call_parts, log
         self.connect_timeout, self.idle, self.max_links = connect_timeout / 1000, idle / 1000, max_links
+        self.untaken = min(UNTAKEN, drain_grace / 2000)
         self.nodes: dict[int, Node] = {}
-        self.count = self.opened = 0
+        self.links: set[Link] = set()  # those of nodes that are gone too
+        self.opened = 0
         self._pending: list[Node] = []
 
     @property
@@ -216,6 +279,11 @@
         """Seconds of the reactor's clock."""
         return self.reactor.seconds()
 
+    @property
+    def count(self) -> int:
+        """Links held."""
+        return len(self.links)
+
     def place(self, server: int, host: str, port: int) -> None:
         """Where a node is. One that moved gets new links; the old ones end with what is out."""
         node = self.nodes.get(server)
@@ -225,11 +293,21 @@
             self.nodes[server] = Node(server, host, port)
 
     def forget(self, server: int) -> None:
-        """A node is gone: its links close once nothing is out on them."""
+        """A node is gone: nothing new goes to it, its links close once nothing is out on them."""
+        self.hold_back(server)
         if node := self.nodes.pop(server, None):
             for link in list(node.links):
                 link.retire()
 
+    def hold_back(self, server: int) -> None:
+        """A node drains: what waits for a connection to it, or behind another frame, does not go there.
+
+        Danger: told, and the connection comes up 250 ms later; or a hung node reads again after seconds.
+        """
+        if node := self.nodes.get(server):
+            for link in list(node.links):
+                link.hold_back()
+
     def close_idle(self, server: int) -> None:
         """Close the unused links of a node."""
         if node := self.nodes.get(server):
@@ -238,19 +316,17 @@
 
     def close(self) -> None:
         """Close all links."""
-        for node in self.nodes.values():
-            for link in list(node.links):
-                link.close()
+        for link in list(self.links):
+            link.close()
 
     def sweep(self) -> None:
         """Close what lies unused too long, and links whose frame has begun and does not go on."""
         now = self.now
-        for node in self.nodes.values():
-            for link in list(node.links):
-                if link.up and not link.load and now - link.used >= IDLE_LINK * self.idle:
-                    link.close()
-                elif link.reader.partial and now - link.half_since >= HALF_FRAME:
-                    link.spoilt(frames.FrameError("a frame that does not go on"))
+        for link in list(self.links):
+            if link.up and not link.load and now - link.used >= IDLE_LINK * self.idle:
+                link.close()
+            elif link.reader.partial and now - link.half_since >= HALF_FRAME:
+                link.spoilt(frames.FrameError("a frame that does not go on"))
 
     # --- sends ------------------------------------------------------------------------
 
@@ -288,12 +364,19 @@
         """Stop waiting for a send."""
         self._stop(sending, Outcome.CANCELLED)
 
+    def withdraw(self, sending: Sending) -> None:
+        """It may not begin any more; what a node has of it is not given up by this."""
+        if not sending.ended and sending.link is not None:
+            sending.link.withdraw(sending)
+        elif not sending.ended:
+            sending.finish(Outcome.NOT_SENT)
+
     def _stop(self, sending: Sending, outcome: Outcome) -> None:
         if sending.ended:
             return
         if sending.out:
             sending.link.give_up(sending, outcome)
-        else:  # it waits for its connection
+        else:  # it waits for its connection, or behind another frame
             sending.finish(Outcome.NOT_SENT if outcome is Outcome.CANCELLED else Outcome.UNCONNECTED)
 
     def _call(self, node: Node, call: list[Sending]) -> None:
@@ -304,22 +387,20 @@
         ids = {sending.id for sending in call}
         fit = [link for link in node.links
                if not link.retired and link.load + len(call) <= max(self.streams, len(call))
-               and not ids & link.out.keys()]
+               and not ids & link.out.keys() and not ids & link.past.keys()]
         link = min(fit, key=lambda link: (link.load, not link.up, -link.used), default=None)
         if link is None or link.load and len(node.links) < max(self.max_links // len(self.nodes), 1):
             link = self._open(node) or link
         if link is None:
             for sending in call:
                 self.reactor.callLater(0, sending.finish, Outcome.NOT_SENT)
-        elif link.up:
-            link.write(call)
         else:
-            link.waiting.append(call)
             for sending in call:
-                if sending.connect_within:
+                if sending.connect_within and not link.up:
                     sending.connecting = self.reactor.callLater(
                         sending.connect_within, self._take_back, sending
                     )
+            link.carry(call)
 
     def _take_back(self, sending: Sending) -> None:
         """Danger: a machine that is cut off costs half an aim until the connection to it fails."""
@@ -331,7 +412,7 @@
             return None
         link = Link(self, node)
         node.links.add(link)
-        self.count += 1
+        self.links.add(link)
         self.opened += 1
         link.connector = self.reactor.connectTCP(
             node.host, node.port, OneConnection(link, link.gone), timeout=self.connect_timeout
--- a/tansycrank/platform/settings.py
+++ b/tansycrank/platform/settings.py
@@ -29,6 +29,7 @@
 MAX_DROPPED = 256 * 1024  # bytes read and dropped meanwhile: a close with unread bytes would lose the error
 HALF_FRAME = 0.5  # s a node's frame may take once it has begun
 IDLE_LINK = 0.8  # of the time after which a node closes an idle connection; ours goes before
+UNTAKEN = 0.1  # s, and half of the drain grace at most, that a frame has which may not begin any more
 LATE_IDS = 256  # attempts given up or answered that a link still knows, for their late answers
 BEAT = 3.0  # s without a word on a watch that tells every 2 s
 CALL_WITHIN = 2.0  # s for discovery to take a call
--- a/tests/platform/live.py
+++ b/tests/platform/live.py
@@ -63,9 +63,21 @@
         super().__init__()
         self.protocol, self.over, self.half_closed = protocol, False, False
 
+    stuck = False  # whether the system takes no more bytes
+
     def setTcpNoDelay(self, enabled):  # noqa: N802
         pass
 
+    def registerProducer(self, producer, streaming):  # noqa: N802
+        super().registerProducer(producer, streaming)
+        if not streaming:
+            producer.resumeProducing()
+
+    def write(self, data):
+        super().write(data)
+        if self.producer is not None and not self.streaming and not self.stuck:
+            self.producer.resumeProducing()
+
     def loseWriteConnection(self):  # noqa: N802
         self.half_closed = True
 
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -351,3 +351,21 @@
     written = transport.take()
     assert status(written) == 200
     assert body(written)["complete"] and len(body(written)["hits"]) == parts
+
+
+@pytest.mark.parametrize("can_cancel", [True, False])
+@pytest.mark.parametrize("end", ["left", "given up"])
+def test_nothing_of_an_ended_query_goes_out_when_a_connection_comes_up(end, can_cancel):
+    """Danger: where nodes take no cancels, a part that waited for its connection started after the end."""
+    caps = TOLD["caps"] | {"cancel": can_cancel, "connectTimeout": 3000.0}
+    live = Live(config(settings=TOLD | {"caps": caps}))
+    live.discovery[0].refuse()
+    _, transport = client = live.client()
+    live.ask(post(deadline=300), client)
+    assert live.nodes
+    if end == "left":
+        transport.end()
+    else:
+        live.run(0.29)
+        assert status(transport.take()) == 503
+    assert not live.sent() and not live.daemon.coordinator._parts
--- a/tests/platform/test_node_links.py
+++ b/tests/platform/test_node_links.py
@@ -342,3 +342,100 @@
     first.say(answer("a.1"))
     node.send("c.1")
     assert [id for id, *_ in first.calls()] == ["c.1"] and len(node.peers) == 2
+
+
+def stuck(node, *ids):
+    """These sends are given to a socket whose system takes nothing more; its far end."""
+    peer = node.up("first.1")
+    peer.say(answer("first.1"))
+    peer.transport.stuck = True
+    node.send(*ids)
+    assert len(node.peers) == 1
+    return peer
+
+
+def test_a_node_that_drains_gets_nothing_that_waits_for_its_connection():
+    """Danger: told to go, and the connection comes up 250 ms later with the part."""
+    node = Node()
+    node.send("a.1")
+    node.pools.hold_back(1)
+    assert outcomes(node) == {"a.1": [Outcome.NOT_SENT]}
+    assert not node.peers[0].accept().calls()
+
+
+def test_a_node_that_is_gone_gets_nothing_that_waits_for_its_connection():
+    node = Node()
+    node.send("a.1")
+    node.pools.forget(1)
+    assert outcomes(node) == {"a.1": [Outcome.NOT_SENT]} and node.pools.count == 0
+
+
+def test_a_frame_waits_until_the_one_before_has_gone_and_can_be_taken_back():
+    node = Node(max_links=1)
+    peer = stuck(node, "a.1")
+    b, c = node.send("b.1")[0], node.send("c.1")[0]
+    assert [id for id, *_ in peer.calls()] == ["a.1"]
+    node.pools.withdraw(b)
+    assert outcomes(node)["b.1"] == [Outcome.NOT_SENT] and not c.ended
+    peer.transport.stuck = False
+    peer.protocol.resumeProducing()
+    assert [id for id, *_ in peer.calls()] == ["c.1"]
+
+
+@pytest.mark.parametrize("end", ["withdraw", "cancel", "drain", "time out"])
+def test_a_frame_that_is_not_taken_closes_its_link_once_it_may_not_begin_any_more(end):
+    """Danger: a node that hangs reads on when it wakes, and starts what was given up long ago."""
+    node = Node()
+    peer = stuck(node, "a.1", "a.2")
+    sending = peer.protocol.out[b"a.1"]
+    if end == "withdraw":
+        node.pools.withdraw(sending)
+    elif end == "cancel":
+        node.pools.cancel(sending)
+    elif end == "drain":
+        node.pools.hold_back(1)
+    else:
+        node.reactor.advance(1.0)
+    assert end == "time out" or not peer.transport.over
+    node.reactor.advance(0.11)
+    assert peer.transport.over
+    if end != "time out":  # its last byte has not left: it never ran
+        assert outcomes(node)["a.2"] == [Outcome.UNCONNECTED]
+    assert not node.reactor.getDelayedCalls()
+
+
+def test_a_frame_that_goes_after_all_keeps_its_link():
+    node = Node()
+    peer = stuck(node, "a.1", "a.2")
+    node.pools.withdraw(peer.protocol.out[b"a.1"])
+    peer.transport.stuck = False
+    peer.protocol.resumeProducing()
+    node.reactor.advance(0.2)
+    assert not peer.transport.over
+    peer.transport.end()
+    assert outcomes(node)["a.2"] == [Outcome.BROKEN_OFF]  # all of it had left: it may have run
+
+
+def test_a_connection_that_breaks_under_a_half_written_frame_proves_that_it_never_ran():
+    node = Node(max_links=1)
+    early = node.up("early.1")
+    early.transport.stuck = True
+    node.send("a.1")
+    assert [id for id, *_ in early.calls()] == ["a.1"]
+    node.send("b.1")
+    early.transport.end()
+    assert outcomes(node) == {
+        "early.1": [Outcome.BROKEN_OFF], "a.1": [Outcome.UNCONNECTED], "b.1": [Outcome.UNCONNECTED],
+    }
+
+
+def test_an_id_used_again_takes_another_link_than_the_one_that_may_still_answer_it():
+    """Danger: the late answer to a request that was given up, served for another of the same id."""
+    node = Node()
+    peer = node.up("a.1", "b.1")
+    node.pools.cancel(peer.protocol.out[b"a.1"])
+    peer.say(answer("b.1"))
+    node.send("a.1")
+    assert len(node.peers) == 2
+    peer.say(answer("a.1", "busy"))
+    assert outcomes(node)["a.1"] == [Outcome.CANCELLED]
