A request is taken once its client is known to be there; what a leaving router holds is answered

The reactor reads what lies behind it (FIN, reset) in its next turn, and the step ran in between: parts of clients that had left went out. Now a request is taken once a poll found nothing more on its connection. - Reading was paused while answers were unread and behind an unreadable request, which hid a departure. What comes is kept (a head and a body at most) or dropped; beyond the bound what is open is answered at once. - daemon.py, _stop_taking closed the port over connections that the system had accepted: reset, a request with them. They are taken first. New connections of under 0.5 s are not closed as idle.

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -52,6 +52,7 @@
 NEAR_TURNS = 4  # turns of a replica in our own zone for each of one elsewhere, where crossing has a price
 COPY_LEAD = 6.0  # p90s before the aim from which on a copy is sent, where work without an answer has a price
 ASK_BACKOFF, ASK_BACKOFF_LAST = 200.0, 3_000.0  # ms between calls to discovery after a failure
+PUSH_BACKOFF = 0.25  # of the drain grace: the most between calls where lists are pushed
 ASK_JITTER = 0.5  # of a wait: the least of it, by chance, so that a fleet's calls spread
 STALL = 20  # ticks: a wake-up later than that tells that this router stood still itself
 RECHECK = 100.0  # ms between looks at a query that is past its aim
@@ -116,13 +117,15 @@
         heapq.heappush(self.agenda, (time, self.order, function, argument))
 
     def _watch(self, _: None) -> None:
-        if self.cfg.must_ask:
+        if self.cfg.must_ask or self.cfg.must_watch:
             self.actions.append(io.Watch(True))
 
     def _listed(self, event: io.ServerList) -> None:
         if event.kind is ListKind.FAILED:  # ask again, later each time: discovery has little capacity
             # Danger: hundreds of routers whose watches ended in one moment, asking again in one moment.
-            wait = self.ask_backoff * self.rng.uniform(ASK_JITTER, 1.0)
+            # Danger: where lists are pushed, what the agent says at its return counts at once.
+            most = ASK_BACKOFF_LAST if self.cfg.must_ask else PUSH_BACKOFF * self.cfg.drain_grace
+            wait = min(self.ask_backoff, most) * self.rng.uniform(ASK_JITTER, 1.0)
             self._at(self.now + wait, self._watch, None)
             self.ask_backoff = min(2 * self.ask_backoff, ASK_BACKOFF_LAST)
             return
--- a/tansycrank/interface.py
+++ b/tansycrank/interface.py
@@ -104,6 +104,7 @@
     marks_repeats: bool = False
     open_cap: int = 1000
     must_ask: bool = False
+    must_watch: bool = False  # lists come on an open watch alone, those that are pushed too
     ask_every: float = 10000.0
     answer_grace: float = 0.0
     drain_grace: float = 0.0
--- a/tansycrank/platform/coordinator.py
+++ b/tansycrank/platform/coordinator.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from tansycrank import interface as io
 from tansycrank.platform import request as codec
@@ -25,8 +26,14 @@
     name: bytes
     shard: int
     attempts: list[Sending] = field(default_factory=list)
+    ran: bool = False  # whether an attempt ended that may have run
     value: str | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether nothing proves that none of its attempts did."""
+        return self.ran or any(sending.out and not sending.ended for sending in self.attempts)
+
 
 @dataclass(slots=True, eq=False)
 class Query:
@@ -68,21 +75,26 @@
             io.FetchList: lambda action: on_fetch(),
             io.Note: lambda action: log("note", text=action.text),
         }
-        self.loop = StepLoop(reactor, settings, seed, acts, self._broken, pools.flush)
+        guarded = {kind: partial(self._act, act) for kind, act in acts.items()}
+        self.loop = StepLoop(reactor, settings, seed, guarded, self._broken, pools.flush)
 
     # --- in ---------------------------------------------------------------------------
 
-    def take(self, request: QueryRequest, reply: Reply) -> Query:
-        """Take a query. Refused where its id is open already, or as many are held as may be."""
+    def take(self, request: QueryRequest, reply: Reply, waited: float = 0.0) -> Query:
+        """Take a query that was read `waited` ms ago.
+
+        Refused where its id is open already, or as many are held as may be.
+        """
         if request.id in self.queries:
             raise Refused(409, "X-Request-Id: a request of that id is open")
         if self.held + 1 + len(request.parts) > self.settings.open_cap:
             self.counts["turned_away"] += 1
             raise Refused(503, "too many requests are open")
         give_up = self.settings.classes[request.query_class].give_up
-        time_left = min(request.deadline, give_up, self.until - self.loop.now)
+        late = waited if waited > self.settings.tick else 0.0  # less is within what the clock tells
+        time_left = min(request.deadline - late, give_up - late, self.until - self.loop.now)
         if time_left <= 0:
-            raise Refused(503, "the router is shutting down")
+            raise Refused(503, "no time is left to answer it")
         self._ids += 1
         query = Query(self._ids, request, reply)
         events: list[io.Event] = [io.QueryArrived(
@@ -108,16 +120,40 @@
             self._end(query)
             self.loop.hear(io.QueryGone(query.id))
 
-    def fail_all(self, words: str) -> None:
-        """Whatever is open is answered as failed: nothing is promised about its effect."""
+    def give_back(self, query: Query) -> None:
+        """Answer a query that the module does not end: refused where no attempt may have run, else failed."""
+        effect = self.settings.classes[query.request.query_class].effect
+        if effect is io.Effect.SAFE or not any(part.may_have_run for part in query.parts):
+            hold_off = self.settings.hold_off_max if self.settings.can_hold_off else 0.0
+            self._shed(io.Shed(query.id, hold_off))
+        else:
+            self._fail(io.Fail(query.id))
+        self.loop.hear(io.QueryGone(query.id))
+
+    def give_back_all(self) -> None:
+        """Answer whatever is open."""
         for query in list(self.queries.values()):
-            self.counts["failed"] += 1
-            self._reply(query, 504, words)
-            self.loop.hear(io.QueryGone(query.id))
+            self.give_back(query)
 
     def _broken(self, error: Exception) -> None:
         self.log("the decision module failed", error=repr(error), traceback=True)
-        self.fail_all("the router's decision module failed")
+        self.give_back_all()
+
+    def _act(self, act: Callable[[io.Action], None], action: io.Action) -> None:
+        """Carry out one action. Danger: one query's fault, and the answers behind it are lost."""
+        try:
+            act(action)
+        except Exception as error:
+            self.log("an action failed", action=type(action).__name__, error=repr(error), traceback=True)
+            query, part = self._parts.get(getattr(action, "part", 0), (None, None))
+            query = query or self._by_number.get(getattr(action, "query", 0))
+            if isinstance(action, io.Send):  # the module waits for its end
+                number = len(part.attempts) if part else 0
+                self.loop.hear(io.AttemptEnded(
+                    action.part, number, action.server, io.Outcome.NOT_SENT, 0.0, False, ()
+                ))
+            if query is not None and not query.ended:
+                self.give_back(query)
 
     # --- out --------------------------------------------------------------------------
 
@@ -128,6 +164,7 @@
 
         def ended(outcome: io.Outcome, value: str, load: tuple[float, ...]) -> None:
             self.outcomes[outcome.value] += 1
+            part.ran = part.ran or not outcome.never_ran
             if outcome is io.Outcome.ANSWERED and part.value is None:
                 part.value = value
                 self._withdraw(part)
--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -58,7 +58,7 @@
         )
         self.front = Front(reactor, settings, self.coordinator)
         self._swept = 0.0
-        self.stopping = self.stopped = self._doubted = False
+        self.stopping = self.stopped = self._closed = self._doubted = False
         self._calls = [LoopingCall(self._sweep), LoopingCall(self._tell)]
         for call in self._calls:
             call.clock = reactor
@@ -152,20 +152,26 @@
         self.reactor.callLater(self.settings.stop_within / 1000, self._give_up)
 
     def _stop_taking(self) -> None:
-        self.front.port.stopListening()
         self.front.draining = True
         self._leave()
 
     def _leave(self) -> None:
+        """Danger: what the system accepted and nobody read is reset when the port closes, requests too."""
+        if self.stopped:
+            return
         self.front.close_idle()
-        if self.coordinator.queries or self.front.connections:
+        if not self._closed and self.front.accept_rest():
+            self._closed = True
+            self.front.port.stopListening()
+        if self.coordinator.queries or self.front.connections or not self._closed:
             self.reactor.callLater(LEAVE_EVERY, self._leave)
         else:
             self._stop()
 
     def _give_up(self) -> None:
-        self.coordinator.fail_all("the router is shutting down; it may or may not have taken effect")
-        self.reactor.callLater(LEAVE_EVERY, self._stop)
+        """Answer what is open. `_leave` stops once all of it was read; this does before the kill."""
+        self.coordinator.give_back_all()
+        self.reactor.callLater(configuration.LAST_WORDS / 1000, self._stop)
 
     def _stop(self) -> None:
         if not self.stopped:
--- a/tansycrank/platform/discovery.py
+++ b/tansycrank/platform/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 
 import httptools
@@ -12,6 +13,46 @@
 from tansycrank.router.connecting import OneConnection
 
 _LISTING = msgspec.json.Decoder(Listing)
+_MARKS = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')  # a string, whose brackets do not count, or a bracket
+
+
+class Objects:
+    """Lines to the objects they hold, one a line or one over several (indented); an empty line is a beat."""
+
+    def __init__(self) -> None:
+        self._lines: list[bytes] = []
+        self._depth = self._size = 0
+
+    def feed(self, line: bytes) -> Listing | None:
+        """The object that this line ends; ValueError for what is none. Holds `MAX_LIST` bytes at most."""
+        line = line.strip()
+        if not line:
+            if self._lines:
+                raise ValueError("an object that does not go on")
+            return None
+        for mark in _MARKS.findall(line):
+            self._depth += (mark in b"{[") - (mark in b"}]")
+        self._lines.append(line)
+        self._size += len(line)
+        if self._depth > 0:
+            if self._size > MAX_LIST:
+                raise ValueError("an object without an end")
+            if len(self._lines) == 1:
+                _begins(line)
+            return None
+        whole, self._lines, self._depth, self._size = b"\n".join(self._lines), [], 0, 0
+        return _LISTING.decode(whole)
+
+
+def _begins(line: bytes) -> None:
+    """ValueError if no object can begin so, however it goes on: noise is not waited for."""
+    try:
+        _LISTING.decode(line)
+    except msgspec.ValidationError:
+        raise
+    except msgspec.DecodeError as problem:
+        if "truncated" not in str(problem):
+            raise
 
 
 class Call(Protocol):
@@ -22,6 +63,7 @@
         self.on_line, self.on_end = on_line, on_end
         self.parser = httptools.HttpResponseParser(self)
         self.buffer = bytearray()
+        self.objects = Objects()
         self.good = self.ended = False
         self.connector = None
         self.timer = reactor.callLater(CALL_WITHIN, self.end, False)
@@ -33,8 +75,6 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.ended:
             return
-        if self.watch:
-            self.timer.reset(BEAT)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -42,31 +82,35 @@
 
     def on_headers_complete(self) -> None:
         self.good = self.parser.get_status_code() == 200
+        if self.watch and not self.ended:
+            self.timer.reset(BEAT)
 
     def on_body(self, body: bytes) -> None:
         if not self.good or self.ended:
             return
         self.buffer += body
-        if self.watch:  # an object a line; a list asked for once is one object, however many lines it has
+        if self.watch:  # a list asked for once is one object, however many lines it has
             *lines, self.buffer = self.buffer.split(b"\n")
             for line in lines:
-                if line.strip() and not self.ended:
-                    self._line(line)
+                if not self.ended:
+                    self.timer.reset(BEAT)  # danger: a trickle without an end of line is silence too
+                    self._line(line, self.objects.feed)
         if len(self.buffer) > MAX_LIST:
             self.end(False)
 
     def on_message_complete(self) -> None:
         if self.good and not self.watch and not self.ended:
-            self._line(self.buffer)
+            self._line(self.buffer, _LISTING.decode)
         self.end(self.good and not self.watch)
 
-    def _line(self, line: bytes) -> None:
+    def _line(self, line: bytes, read: Callable[[bytes], Listing | None]) -> None:
         try:
-            listing = _LISTING.decode(line)
+            listing = read(line)
         except ValueError:
             self.end(False)
         else:
-            self.on_line(listing)
+            if listing is not None:
+                self.on_line(listing)
 
     def connectionLost(self, reason=connectionDone) -> None:  # noqa: N802
         self.end(False)
@@ -96,13 +140,15 @@
         self.version, self.heard, self.failed = version, heard, failed
         self.calls: set[Call] = set()
         self.watch: Call | None = None
+        self.wanted = False  # a watch, whether or not one is open now
 
     def set_watch(self, on: bool) -> None:
-        """Watch from the version held, or no longer."""
-        if self.watch is not None:
+        """Watch from the version held, or no longer. A watch that is open goes on."""
+        self.wanted = on
+        if not on and self.watch is not None:
             watch, self.watch = self.watch, None
             watch.end(False)
-        if on:
+        if on and self.watch is None:
             self.watch = self._call(f"/api/targets?watch=1&after={self.version()}", True)
 
     def fetch(self) -> None:
@@ -111,11 +157,21 @@
             self.calls.add(self._call("/api/targets", False))
 
     def move(self, host: str, port: int) -> None:
-        """The service has a new address; a watch goes on there from the version held."""
+        """The service has a new address; what was asked at the old one is asked there, at once.
+
+        Danger: a watch that has just failed at the old address comes back after the wait for that failure,
+        and what discovery tells meanwhile counts as told.
+        """
         if (host, port) == (self.host, self.port):
             return
         self.host, self.port = host, port
-        if self.watch is not None:
+        calls, self.calls = self.calls, set()
+        for call in calls:
+            call.end(False)
+        if calls:
+            self.fetch()
+        if self.wanted:
+            self.set_watch(False)
             self.set_watch(True)
 
     def _call(self, path: str, watch: bool) -> Call:
@@ -124,6 +180,7 @@
 
         def line(listing: Listing) -> None:
             if call is self.watch or call in self.calls:
+                self.calls.discard(call)  # it has brought its list: another may be asked for
                 self.heard(listing)
 
         def ended(good: bool) -> None:
--- a/tansycrank/platform/front.py
+++ b/tansycrank/platform/front.py
@@ -15,10 +15,11 @@
 
 from tansycrank.platform import request as codec
 from tansycrank.platform.coordinator import Coordinator, Query
-from tansycrank.platform.request import Refused
+from tansycrank.platform.request import QueryRequest, Refused
 from tansycrank.platform.settings import (
     IDLE_CLIENT,
     LINGER,
+    LOOKS,
     MAX_BODY,
     MAX_DROPPED,
     MAX_HEAD,
@@ -41,6 +42,7 @@
     answer: tuple[int, bytes, tuple[bytes, ...]] | None = None
     query: Query | None = None
     asked: bool = False  # whether it was a query, whatever its answer
+    told: QueryRequest | None = None  # read, and not taken yet
 
 
 @implementer(IPushProducer)
@@ -54,6 +56,8 @@
         self.dropped = 0
         self.spoke = self.in_message = self.closing = False
         self.unread_since: float | None = None
+        self.held = bytearray()  # what came while answers were not read
+        self.read_at = 0.0  # s: when the last request was read
         self.fault: tuple[int, str] | None = None
         self._fresh()
         self.parser = httptools.HttpRequestParser(self)
@@ -72,11 +76,22 @@
         self.transport.registerProducer(self, True)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.front.settling:
+            self.front.read_on(self)
         if self.closing or self.fault is not None:
             self.dropped += len(data)
             if self.dropped > MAX_DROPPED:  # danger: reading on what is of no use, 60 MB at full speed
                 self.transport.pauseProducing()
-            return
+                self._give_back()
+        elif self.unread_since is not None:
+            # Danger: a pause here would hide that the client has left, with its requests still in line.
+            self.held += data
+            if len(self.held) > MAX_HEAD + MAX_BODY:
+                self.transport.abortConnection()
+        else:
+            self._feed(data)
+
+    def _feed(self, data: bytes) -> None:
         if self.in_head:
             self.head += len(data)
         try:
@@ -129,10 +144,7 @@
         try:
             self._dispatch(slot)
         except Refused as refused:
-            self.front.counts["unusable"] += 1
-            self.front.latest = str(refused)
-            more = codec.wait(self.front.hold_off) if refused.status == 503 else ()
-            slot.answer = (refused.status, codec.words(str(refused)), more)
+            self._unusable(slot, refused)
         self._fresh()
         self.flush()
 
@@ -160,15 +172,42 @@
         if method != b"POST":
             raise Refused(405, "a query is a POST")
         settings = front.settings
-        told = codec.read(
+        slot.told = codec.read(
             path, url.query or b"", self.headers, bytes(self.body), settings.classes, settings.module.shards
         )
+        self.read_at = front.now
+        front.settle(self)
+
+    def admit(self) -> None:
+        """What was read is taken: its client is still there."""
+        for slot in [slot for slot in self.slots if slot.told is not None]:
+            told, slot.told = slot.told, None
+
+            def reply(status: int, body: bytes, more: tuple[bytes, ...], slot: Slot = slot) -> None:
+                slot.answer, slot.query = (status, body, more), None
+                self.flush()
+
+            try:
+                slot.query = self.front.coordinator.take(told, reply, (self.front.now - self.read_at) * 1000)
+            except Refused as refused:
+                self._unusable(slot, refused)
+        self.flush()
 
-        def reply(status: int, body: bytes, more: tuple[bytes, ...]) -> None:
-            slot.answer, slot.query = (status, body, more), None
-            self.flush()
-
-        slot.query = front.coordinator.take(told, reply)
+    def _unusable(self, slot: Slot, refused: Refused) -> None:
+        self.front.counts["unusable"] += 1
+        self.front.latest = str(refused)
+        more = codec.wait(self.front.hold_off) if refused.status == 503 else ()
+        slot.answer = (refused.status, codec.words(str(refused)), more)
+
+    def _give_back(self) -> None:
+        """Nothing more is read here, so nobody sees the client leave: what is open is answered now."""
+        for slot in list(self.slots):
+            if slot.told is not None:
+                slot.told = None
+                self._unusable(slot, Refused(503, "its connection cannot be read any more"))
+            elif slot.query is not None:
+                self.front.coordinator.give_back(slot.query)
+        self.flush()
 
     def flush(self) -> None:
         """Write the answers that are due, in the order of their requests."""
@@ -179,7 +218,9 @@
             status, body, more = slot.answer
             self.since = self.front.now
             self.transport.write(codec.reply(status, body, close, *more))
-            if close:
+            if close and self.fault is not None:
+                self._linger()
+            elif close:
                 self.close()
             elif last and slot.asked:
                 self.front.rests(self)
@@ -190,10 +231,13 @@
         self.fault = (status, words)  # danger: what follows would be refused anew, a place in line each time
         if self.slots:  # answers before it are still owed; the close follows the last of them
             self.slots.append(Slot(False, (status, codec.words(words), ())))
-            self.transport.pauseProducing()
             self.in_message = False
             return
         self.transport.write(codec.reply(status, codec.words(words), True))
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close, so that the error is not lost to a reset by what still comes."""
         self.closing = True
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
@@ -225,12 +269,12 @@
     def pauseProducing(self) -> None:  # noqa: N802
         """Its answers are not being read: no further requests."""
         self.unread_since = self.front.now
-        self.transport.pauseProducing()
 
     def resumeProducing(self) -> None:  # noqa: N802
         self.unread_since = None
-        if not self.closing:
-            self.transport.resumeProducing()
+        held, self.held = self.held, bytearray()
+        if held and not self.closing and self.fault is None:
+            self._feed(bytes(held))
 
     def stopProducing(self) -> None:  # noqa: N802
         self.unread_since = None
@@ -239,6 +283,7 @@
         self.closing = True
         self.front.connections.pop(self, None)
         self.front.unused.pop(self, None)
+        self.front.settling.pop(self, None)
         for slot in self.slots:
             if slot.query is not None:
                 self.front.coordinator.abandon(slot.query)
@@ -255,6 +300,8 @@
         self.reactor, self.settings, self.coordinator = reactor, settings, coordinator
         self.connections: dict[Connection, None] = {}  # oldest first
         self.unused: dict[Connection, None] = {}  # after a query, no other open; longest unused first
+        self.settling: dict[Connection, int] = {}  # with requests read and not taken: looks at it still due
+        self._look = None
         self.ready = self.draining = False
         self.counts = {"accepted": 0, "unusable": 0, "unreadable": 0, "evicted": 0, "paused": 0}
         self.latest = ""  # why a request could not be used
@@ -275,6 +322,31 @@
             self._pause()
         return connection
 
+    def settle(self, connection: Connection) -> None:
+        """Its request is taken once all sockets were looked at and its own had nothing more to read.
+
+        Danger: a request and its client's leaving lie in the system together, and the reactor reads them in
+        two turns: its parts went out in between.
+        """
+        self.settling[connection] = LOOKS
+        if self._look is None:
+            self._look = self.reactor.callLater(0, self._settled)
+
+    def read_on(self, connection: Connection) -> None:
+        """More came on it: what lies behind that is not known yet."""
+        if connection in self.settling:
+            self.settling[connection] = LOOKS
+
+    def _settled(self) -> None:
+        self._look = None
+        for connection in list(self.settling):
+            self.settling[connection] -= 1
+            if not self.settling[connection]:
+                del self.settling[connection]
+                connection.admit()
+        if self.settling and self._look is None:
+            self._look = self.reactor.callLater(0, self._settled)
+
     def _full(self) -> bool:
         """Whether all are held that may be, and none of them can be closed for another."""
         return len(self.connections) >= self.settings.max_clients and not self._make_room()
@@ -327,9 +399,18 @@
         for connection in list(self.connections):
             connection.check(now)
 
+    def accept_rest(self) -> bool:
+        """Accept what waits in the system's queue, as far as there is room; whether that was all."""
+        room = self.settings.max_clients - len(self.connections)
+        before, self.port.numberAccepts = self.counts["accepted"], room
+        if room > 0:
+            self.port.doRead()
+        return room > 0 and self.counts["accepted"] - before < room
+
     def close_idle(self) -> None:
-        """Close what no request is open on."""
+        """Close what no request is open on; a new connection may have one on its way."""
+        now = self.now
         for connection in list(self.connections):
-            if connection.idle:
+            if connection.idle and (connection.spoke or now - connection.since >= SILENT):
                 connection.close()
 
--- a/tansycrank/platform/settings.py
+++ b/tansycrank/platform/settings.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import msgspec
@@ -26,6 +26,7 @@
 IDLE_CLIENT = 3.0  # s a client's connection may lie unused
 UNREAD = 5.0  # s a client may leave its answers unread
 LINGER = 0.25  # s between an error that ends a connection and its close
+LOOKS = 2  # turns of the reactor from reading a request to taking it: the poll between shows who left
 MAX_DROPPED = 256 * 1024  # bytes read and dropped meanwhile: a close with unread bytes would lose the error
 HALF_FRAME = 0.5  # s a node's frame may take once it has begun
 IDLE_LINK = 0.8  # of the time after which a node closes an idle connection; ours goes before
@@ -35,7 +36,9 @@
 CALL_WITHIN = 2.0  # s for discovery to take a call
 LONGEST = 3_000.0  # ms: a longer deadline counts as this where the platform times a restart
 KILL_AFTER = 700.0  # ms from SIGTERM, on top of the longest deadline: SIGKILL comes no sooner
-KILL_MARGIN = 100.0  # ms before that: what is still open then is answered as failed
+KILL_MARGIN = 100.0  # ms before that: what is still open then is given up
+LAST_WORDS = 80.0  # ms of these for clients to read their answers
+NEW_UNTIL = 500.0  # ms from SIGTERM: new connections keep coming for 400, and those have a request on its way
 ACCEPTS = 16  # connections taken in one reactor turn at first: so many may be held beyond the bound
 RETRY_ACCEPT = 0.02  # s until a full router looks again whether it can take a connection
 RESERVE = 64  # descriptors for everything but clients and links
@@ -143,7 +146,7 @@
     def stop_taking(self) -> float:
         """ms from SIGTERM until which connections go on: what comes then can be served by its aim."""
         longest = max(cls.aim for cls in self.module.classes)
-        return max(self.stop_within - min(longest, LONGEST), KILL_AFTER)
+        return max(self.stop_within - min(longest, LONGEST), NEW_UNTIL)
 
 
 def address(text: str, what: str) -> tuple[str, int]:
@@ -191,7 +194,7 @@
         memory_mb=file.limits.memory_mb,
         sockets=file.limits.sockets,
         known=file.known,
-        module=module,
+        module=replace(module, must_watch=True),
         classes={cls.name: index for index, cls in enumerate(sockets.services)},
         zones=tuple(sockets.localities),
         streams=max(sockets.caps.streams_per_conn, 1),
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -175,3 +175,100 @@
 
 def test_the_modules_clock_is_that_of_the_nodes_starts(live):
     assert live.daemon.coordinator.loop.now >= START * 1000
+
+
+def indented(version, *servers, full=False):
+    told = {"version": version, "full": full, "servers": servers}
+    return json.dumps(told, indent=2).encode() + b"\n"
+
+
+@pytest.mark.parametrize("length", [1, 7, 10_000])
+@pytest.mark.parametrize("framing", ["chunked", "until the end"])
+def test_objects_over_several_lines_are_read_on_a_watch(live, framing, length):
+    """Danger: the first line of an indented list taken for noise, and the watch opened anew for ever."""
+    body = indented(5, entry(1, "terminating")) + b"\n" + indented(6, entry(2), entry(4), full=True)
+    pieces = [body[at : at + length] for at in range(0, len(body), length)]
+    live.watch.say(HEAD if framing == "chunked" else b"HTTP/1.1 200 OK\r\n\r\n")
+    for piece in pieces:
+        live.watch.say(chunk(piece) if framing == "chunked" else piece)
+    live.run(0)
+    assert states(live) == {2: io.Status.READY, 4: io.Status.READY}
+    assert len(live.discovery) == 1 and not live.watch.transport.over
+
+
+@pytest.mark.parametrize("noise", [
+    b"{no json\n", b'{"version": "x",\n', b"]\n", b'{"version": 5,\n\n', b"[[[[\n\n",
+])
+def test_what_cannot_become_a_list_ends_the_watch(live, noise):
+    live.watch.say(HEAD + chunk(noise))
+    live.run(0.5)
+    assert len(live.discovery) == 2
+
+
+def test_an_object_without_an_end_is_bounded(live):
+    live.watch.say(HEAD + chunk(b'{"version": 5, "full": true, "servers": [\n'))
+    for _ in range(70):
+        if not live.watch.transport.over:
+            live.watch.say(chunk(b" " * 70 + b"0" * 60_000 + b",\n"))
+    live.run(0.5)
+    assert len(live.discovery) == 2
+
+
+def test_a_trickle_that_ends_no_line_is_silence(live):
+    """Danger: bytes that never become a line kept the watch, and its changes counted as told 6 s later."""
+    live.watch.say(HEAD)
+    for _ in range(14):
+        live.run(0.25)
+        if live.watch.protocol.ended:
+            break
+        live.watch.say(chunk(b" "))
+    assert live.watch.protocol.ended
+    live.run(0.3)
+    assert len(live.discovery) == 2
+
+
+def test_a_whole_list_of_nobody_that_was_asked_for_is_asked_for_again(live):
+    """Danger: the call that brought it counted as open still, and nobody was asked."""
+    live.daemon.discovery.fetch()
+    live.run(0)
+    nobody = b'{"version":9,"full":true,"servers":[]}'
+    whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(nobody) + nobody
+    live.discovery[1].accept().say(whole)
+    live.run(0)
+    assert len(live.discovery) == 3 and len(states(live)) == 3
+    live.discovery[2].accept().say(whole)
+    live.run(0)
+    assert not states(live)
+
+
+def test_a_new_address_is_asked_at_once_while_the_old_one_is_waited_for(tmp_path):
+    """Danger: SIGHUP during the wait after a failure: up to 3 s, and lists count as told 4 s after it."""
+    path = tmp_path / "config.json"
+    live = Live(environ={"NODE_CONFIG": str(path)})
+    for at in range(5):
+        live.discovery[at].refuse()
+        live.run(0.2 * 2**at)
+    asked = len(live.discovery)
+    live.discovery[-1].refuse()
+    live.run(0)
+    path.write_bytes(config(discovery="127.0.0.9:8600"))
+    live.daemon.reload()
+    live.run(0)
+    assert [peer.port for peer in live.discovery[asked:]] == [8600]
+    watch = live.discovery[-1].accept()
+    watch.say(HEAD + line(5, entry(1, "terminated")))
+    live.run(2.9)  # the lapsed wait for the old address opens no second watch
+    assert len(live.discovery) == asked + 1 and 1 not in states(live)
+
+
+def test_a_call_to_the_old_address_is_asked_at_the_new_one_and_its_late_answer_is_nobodys(live):
+    live.daemon.discovery.fetch()
+    live.run(0)
+    old = live.discovery[1].accept()
+    live.daemon.discovery.move("127.0.0.9", 8600)
+    live.run(0)
+    assert [peer.port for peer in live.discovery] == [8500, 8500, 8600, 8600]
+    late = b'{"version":9,"full":true,"servers":[]}'
+    old.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(late) + late)
+    live.run(0)
+    assert len(states(live)) == 3
