Keyed parts carry their client's key; where lists are pushed a router is ready once it has one

Logged requests show Idempotency-Key on the keyed classes; the part did not carry it. Where lists are pushed what the agent has counts from the first moment on; now the first list makes it ready (20 s at most).

--- a/tansycrank/platform/coordinator.py
+++ b/tansycrank/platform/coordinator.py
@@ -90,7 +90,10 @@
         if self.held + 1 + len(request.parts) > self.settings.open_cap:
             self.counts["turned_away"] += 1
             raise Refused(503, "too many requests are open")
-        give_up = self.settings.classes[request.query_class].give_up
+        cls = self.settings.classes[request.query_class]
+        if cls.effect is io.Effect.KEYED and not request.once:
+            raise Refused(400, "Idempotency-Key: this class needs one, by which nodes know a repeat")
+        give_up = cls.give_up
         late = waited if waited > self.settings.tick else 0.0  # less is within what the clock tells
         time_left = min(request.deadline - late, give_up - late, self.until - self.loop.now)
         if time_left <= 0:
@@ -177,7 +180,7 @@
 
         part.attempts.append(self.pools.send(
             part.name, action.server, part.shard, query.request.text, action.time_out, ended,
-            action.connect_within,
+            action.connect_within, query.request.once,
         ))
 
     def _cancel(self, action: io.Cancel) -> None:
--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -28,6 +28,7 @@
 TELL = 10.0  # s between lines about how it goes
 LEAVE_EVERY = 0.05  # s between looks at what is still open while leaving
 READY_WITHIN = 2.0  # s for discovery's first word; the known list serves without it
+PUSHED_WITHIN = 20.0  # s where lists are pushed; the platform gives a start 30
 
 _logger = logging.getLogger("tansycrank")
 
@@ -58,6 +59,7 @@
         )
         self.front = Front(reactor, settings, self.coordinator)
         self._swept = 0.0
+        self.discovery_failures = 0
         self.stopping = self.stopped = self._closed = self._doubted = False
         self._calls = [LoopingCall(self._sweep), LoopingCall(self._tell)]
         for call in self._calls:
@@ -69,7 +71,7 @@
         self._take(self.settings.known, io.ListKind.CACHED)
         self.front.port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
         self.front.port.numberAccepts = configuration.ACCEPTS
-        self.reactor.callLater(READY_WITHIN, self._ready)
+        self.reactor.callLater(READY_WITHIN if self.settings.module.must_ask else PUSHED_WITHIN, self._ready)
         self._swept = self.reactor.seconds()
         for call, every in zip(self._calls, (SWEEP, TELL), strict=True):
             call.start(every, now=False)
@@ -100,9 +102,15 @@
         self._ready()
 
     def failed(self) -> None:
-        """A call to discovery, or its watch, has ended."""
+        """A call to discovery, or its watch, has ended.
+
+        Danger: where lists are pushed, what the agent has counts from a process's first moment on; with the
+        known list alone it would send to nodes that drain.
+        """
+        self.discovery_failures += 1
         self.coordinator.loop.hear(io.ServerList(io.ListKind.FAILED))
-        self._ready()
+        if self.settings.module.must_ask:
+            self._ready()
 
     def _take(self, listing: Listing, kind: io.ListKind) -> None:
         if odd := self.names.oddities(listing):
@@ -199,6 +207,7 @@
             "state", **self.coordinator.counts, **self.front.counts, outcomes=self.coordinator.outcomes,
             open=len(self.coordinator.queries), clients=len(self.front.connections), links=self.pools.count,
             links_opened=self.pools.opened, nodes=len(self.names), steps=loop.steps,
+            discovery_failures=self.discovery_failures,
             unusable_last=self.front.latest, late_ms=round(loop.latest, 1),
             cpu_s=round(usage.ru_utime + usage.ru_stime, 2), rss_mb=round(usage.ru_maxrss / 1024, 1),
         )
--- a/tansycrank/platform/frames.py
+++ b/tansycrank/platform/frames.py
@@ -40,10 +40,11 @@
     return (len(rest) + 1).to_bytes(4, "little") + letter + rest
 
 
-def call(parts: Iterable[tuple[bytes, int, int, bytes]]) -> bytes:
-    """One call of (id, shard, ms that will be waited, text) each."""
+def call(parts: Iterable[tuple[bytes, int, int, bytes, bytes]]) -> bytes:
+    """One call of (id, shard, ms that will be waited, text, the client's Idempotency-Key or b"") each."""
     return _frame(b"Q", b"".join(
-        b"%b %d d=%d %d\n%b" % (id, shard, wait, len(text), text) for id, shard, wait, text in parts
+        b"%b %d d=%d%b %d\n%b" % (id, shard, wait, b",k=" + once if once else b"", len(text), text)
+        for id, shard, wait, text, once in parts
     ))
 
 
--- a/tansycrank/platform/links.py
+++ b/tansycrank/platform/links.py
@@ -30,6 +30,7 @@
     text: bytes
     until: float
     done: Done | None
+    once: bytes = b""  # the key by which the node knows a repeat
     link: Link | None = None  # the link that carries it or will
     out: bool = False  # its bytes were handed to the socket
     written: float = 0.0  # when
@@ -117,7 +118,9 @@
                 for sending in call:
                     sending.out, sending.written = True, now
                     self.out[sending.id] = sending
-                data = frames.call((s.id, s.shard, max(int((s.until - now) * 1000), 1), s.text) for s in call)
+                data = frames.call(
+                    (s.id, s.shard, max(int((s.until - now) * 1000), 1), s.text, s.once) for s in call
+                )
             self.used, self.taken, self.going = now, False, call
             self.transport.write(data)
 
@@ -332,14 +335,14 @@
 
     def send(
         self, id: bytes, server: int, shard: int, text: bytes, time_out: float, done: Done,
-        connect_within: float = 0.0,
+        connect_within: float = 0.0, once: bytes = b"",
     ) -> Sending:
         """Send a part, with the others of this step to its node; times are ms.
 
         One that waits for its connection for `connect_within`, if that is not 0, is taken back: it never ran.
         `done` is never called before this returns.
         """
-        sending = Sending(id, shard, text, self.now + time_out / 1000, done)
+        sending = Sending(id, shard, text, self.now + time_out / 1000, done, once)
         sending.connect_within = connect_within / 1000
         node = self.nodes.get(server)
         if node is None:
--- a/tansycrank/platform/request.py
+++ b/tansycrank/platform/request.py
@@ -10,6 +10,7 @@
 import msgspec
 
 ID = re.compile(r"[0-9A-Za-z_-]{1,64}")
+ONCE = re.compile(r"[0-9A-Za-z._~+/=-]{1,128}")  # no comma, no blank: it becomes an entry of a part's list
 KEY = re.compile(r"[0-9a-fA-F]{16}")
 DEADLINE = re.compile(r"[0-9]{1,7}")  # ms: up to some hours
 WEIGHT_SLACK = 0.01  # weights are rounded decimals
@@ -47,7 +48,7 @@
 class QueryRequest:
     """A query as its client sent it. `deadline` is ms from now on; parts are (shard, weight, key).
 
-    Weights are scaled to add up to 1.
+    Weights are scaled to add up to 1. `once` is the client's Idempotency-Key, by which nodes know a repeat.
     """
 
     id: bytes
@@ -57,6 +58,7 @@
     repeat: bool
     parts: tuple[tuple[int, float, int], ...]
     text: bytes
+    once: bytes = b""
 
 
 def read(
@@ -80,6 +82,9 @@
     repeat = headers.get(b"x-retry", b"0")
     if repeat not in (b"0", b"1"):
         raise Refused(400, "X-Retry: 0 or 1")
+    once = headers.get(b"idempotency-key", b"").decode("ascii", "replace")
+    if once and not ONCE.fullmatch(once):
+        raise Refused(400, "Idempotency-Key: 1 to 128 letters, digits or ._~+/=- are needed")
     keys = parse_qs(query.decode("ascii", "replace")).get("obj", [""])
     try:
         told = _BODY.decode(body)
@@ -90,7 +95,8 @@
     # Danger: 44 weights of 0.022727 add up to 0.999988, and all parts in would not make the answer whole.
     parts = tuple((part.shard, part.weight / total, int(part.key, 16)) for part in told.shards)
     key = int(keys[0], 16) if KEY.fullmatch(keys[0]) else 0
-    return QueryRequest(id.encode(), classes[name], float(deadline), key, repeat == b"1", parts, text)
+    return QueryRequest(id.encode(), classes[name], float(deadline), key, repeat == b"1", parts, text,
+                        once.encode())
 
 
 def _check_parts(parts: list[_Part], shards: int) -> float:
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -372,3 +372,54 @@
         live.run(0.29)
         assert status(transport.take()) == 503
     assert not live.sent() and not live.daemon.coordinator._parts
+
+
+KEYED = [TOLD["services"][0], TOLD["services"][1] | {"effect": "idempotency_key", "window": 5000.0}]
+
+
+def test_the_key_of_a_keyed_query_goes_with_every_part_and_every_attempt():
+    """Danger: a repeat that its node cannot know as one takes effect twice."""
+    live = Live(config(settings=TOLD | {"services": KEYED}))
+    live.discovery[0].refuse()
+    more = "Idempotency-Key: 69df97975326601f\r\n"
+    transport = live.ask(post(path="/book", more=more))
+    for _ in range(2):
+        live.run(0.02)
+        peer = live.nodes.pop().accept()
+        assert peer.transport.value().endswith(b",k=69df97975326601f 4\nc41e")
+        peer.transport.end()  # it may have run: with its key it goes on, within the window
+    assert not transport.take()
+
+
+@pytest.mark.parametrize("more", ["", "Idempotency-Key: a,d=9\r\n", "Idempotency-Key: a b\r\n"])
+def test_a_keyed_query_without_a_usable_key_is_refused(more):
+    live = Live(config(settings=TOLD | {"services": KEYED}))
+    assert status(live.ask(post(path="/book", more=more)).take()) == 400 and not live.sent()
+
+
+def test_where_lists_are_pushed_a_router_is_ready_only_with_a_list():
+    """Danger: what the agent has counts as told from the first moment on; the known list may be old."""
+    live = Live(config(settings=TOLD | {"discovery": "push"}))
+    ready = b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"
+    for asked in range(1, 20):  # again within a quarter of the drain grace: what it says at its return counts
+        live.discovery[-1].refuse()
+        live.run(0.13)
+        assert status(live.ask(ready).take()) == 503 and len(live.discovery) == asked + 1
+    live.discovery[-1].accept().say(
+        b'HTTP/1.1 200 OK\r\n\r\n{"version":4,"full":false,"servers":[]}\n'
+    )
+    assert status(live.ask(ready).take()) == 200
+
+
+def test_a_leaving_router_refuses_what_never_ran_with_a_time_to_come_back():
+    live = Live(config(settings=TOLD | {"caps": TOLD["caps"] | {"connectTimeout": 9000.0}, "services": [
+        one | {"aim": 6000.0, "giveUp": 9000.0} for one in TOLD["services"]
+    ]}))
+    unsent = live.ask(post(path="/book", deadline=9000))
+    live.daemon.terminate()
+    sent = live.ask(post(id="out", path="/book", deadline=9000))
+    live.nodes[-1].accept()
+    live.run(live.daemon.settings.stop_within / 1000 + 0.1)
+    written = unsent.take()
+    assert status(written) == 503 and b"Retry-After: " in written
+    assert status(sent.take()) in (503, 504) and live.reactor.hasStopped
