Where lists are pushed nobody listens before the first list: fronts send before it is ready

Checked: all 129 killed routers were ready 10 to 60 ms after listening, all after the list (discovery_failures counted); the 0.53 s is the start of the process, from whose first moment on the agent's list counts; the send falls into the first 40 ms of listening. Ruled out: failed calls to discovery, routers that were not restarted. daemon.start listened before the agent had spoken. Where discovery is asked nothing changes: there a change is told when it is written.

--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -66,20 +66,32 @@
             call.clock = reactor
 
     def start(self) -> None:
-        """Listen, take the known list, ask discovery."""
-        host, port = self.settings.listen
+        """Take the known list, ask discovery, listen."""
         self._take(self.settings.known, io.ListKind.CACHED)
-        self.front.port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
-        self.front.port.numberAccepts = configuration.ACCEPTS
+        if self.settings.module.must_ask:
+            self._listen()
         self.reactor.callLater(READY_WITHIN if self.settings.module.must_ask else PUSHED_WITHIN, self._ready)
         self._swept = self.reactor.seconds()
         for call, every in zip(self._calls, (SWEEP, TELL), strict=True):
             call.start(every, now=False)
-        log("listening", name=self.settings.name, cores=self.settings.cores, idle_ms=self.settings.idle,
+        log("started", name=self.settings.name, cores=self.settings.cores, idle_ms=self.settings.idle,
             memory_mb=self.settings.memory_mb, sockets=self.settings.sockets)
 
+    def _listen(self) -> None:
+        host, port = self.settings.listen
+        self.front.port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
+        self.front.port.numberAccepts = configuration.ACCEPTS
+        log("listening", host=host, port=port)
+
     def _ready(self) -> None:
+        """Danger: where lists are pushed, what the agent has counts from a process's first moment on.
+
+        A front that has not noticed the death of the last process sends at once: until there is a list of the
+        agent's, nobody listens, and what comes is refused by the system.
+        """
         if not self.front.ready and not self.stopping:
+            if self.front.port is None:
+                self._listen()
             self.front.ready = True
             log("ready", nodes=len(self.names), version=self.names.version)
 
@@ -102,11 +114,7 @@
         self._ready()
 
     def failed(self) -> None:
-        """A call to discovery, or its watch, has ended.
-
-        Danger: where lists are pushed, what the agent has counts from a process's first moment on; with the
-        known list alone it would send to nodes that drain.
-        """
+        """A call to discovery, or its watch, has ended."""
         self.discovery_failures += 1
         self.coordinator.loop.hear(io.ServerList(io.ListKind.FAILED))
         if self.settings.module.must_ask:
@@ -168,9 +176,10 @@
         if self.stopped:
             return
         self.front.close_idle()
-        if not self._closed and self.front.accept_rest():
+        if not self._closed and (self.front.port is None or self.front.accept_rest()):
             self._closed = True
-            self.front.port.stopListening()
+            if self.front.port is not None:
+                self.front.port.stopListening()
         if self.coordinator.queries or self.front.connections or not self._closed:
             self.reactor.callLater(LEAVE_EVERY, self._leave)
         else:
--- a/tests/platform/live.py
+++ b/tests/platform/live.py
@@ -181,7 +181,9 @@
         self.reactor.rightNow = START
         self.daemon = Daemon(self.reactor, configuration.parse(raw or config(), {}), environ or {})
         self.daemon.start()
-        self.port = self.daemon.front.port = Port()
+        self.port = Port()
+        if self.daemon.front.port is not None:
+            self.daemon.front.port = self.port
         self.seen = 0
         self.discovery, self.nodes = [], []
         self.run(0)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -401,13 +401,15 @@
     """Danger: what the agent has counts as told from the first moment on; the known list may be old."""
     live = Live(config(settings=TOLD | {"discovery": "push"}))
     ready = b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"
+    assert not live.reactor.tcpServers  # a front that missed the last process's death sends at once
     for asked in range(1, 20):  # again within a quarter of the drain grace: what it says at its return counts
         live.discovery[-1].refuse()
         live.run(0.13)
-        assert status(live.ask(ready).take()) == 503 and len(live.discovery) == asked + 1
+        assert not live.reactor.tcpServers and len(live.discovery) == asked + 1
     live.discovery[-1].accept().say(
         b'HTTP/1.1 200 OK\r\n\r\n{"version":4,"full":false,"servers":[]}\n'
     )
+    assert len(live.reactor.tcpServers) == 1
     assert status(live.ask(ready).take()) == 200
 
 
