A keyed repeat leaves within its window or not at all, also where its connection comes up late

On sockets, window 600 ms, the second node's queue full: the repeat of a reset attempt came once its window was over (test with the crossings, red without this). - Send.leave_within: what is left of the window. Its last byte has left by then, or it is taken back as never run; where the system has half of the frame the link closes. - What waits behind a frame that a hung node does not take is taken back by its hedge timer, as behind a connection. Ruled out: the first attempt (it opens the window, counted from the choice, so sooner than nodes count it); hedges (keyed parts have none). Left: the SQL router's pool does not know the time yet.

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -319,10 +319,16 @@
 
     def _may_repeat(self, part: Part, hedge: bool = False) -> bool:
         """Rule 2: unless safe, only if no attempt may have run, or keyed and in the window of the first."""
+        within = self._repeat_within(part)
+        return within is None or within > 0 and not hedge
+
+    def _repeat_within(self, part: Part) -> float | None:
+        """Milliseconds in which a further attempt has to leave; None where it may at any time."""
         cls, ran = part.query.cls, [a for a in part.attempts if a.may_have_run]
-        keyed = cls.effect is Effect.KEYED and not hedge
-        in_window = keyed and ran and self.now < ran[0].sent + cls.dedup_window - 2 * self.cfg.tick
-        return cls.effect is Effect.SAFE or not ran or bool(in_window)
+        if cls.effect is Effect.SAFE or not ran:
+            return None
+        window = cls.dedup_window if cls.effect is Effect.KEYED else 0.0
+        return ran[0].sent + window - 2 * self.cfg.tick - self.now
 
     def _cold_room(self, server: Server) -> bool:
         """Rule 4: a warm server, or this router's share of what a cold one takes in a window has room.
@@ -416,6 +422,7 @@
         timer = self._timer(query.cls, server)
         if not query.proven:  # danger: refused for want of a pilot whose own timer never fired
             timer = min(timer, PILOT_TIMER * START_SHARE * query.cls.aim)
+        leave_within = self._repeat_within(part) or 0.0  # danger: written once its connection is up, too late
         attempt = Attempt(part, len(part.attempts), server, self.now, timer)
         part.attempts.append(attempt)
         query.started = True
@@ -430,7 +437,8 @@
         self.parts_sent += len(part.attempts) == 1
         late_pays = query.cls.late_worth > 0 and self.lateness < START_SHARE
         useful = query.dead_at if late_pays or self.now >= query.aim_at else query.aim_at
-        self.actions.append(io.Send(part.id, server.id, max(useful - self.now, MIN_TIMER), timer))
+        time_out = max(useful - self.now, MIN_TIMER)
+        self.actions.append(io.Send(part.id, server.id, time_out, timer, leave_within))
         self._at(self.now + attempt.timer, self._timer_fired, attempt)
 
     def _timer(self, cls: io.QueryClass, server: Server) -> float:
--- a/tansycrank/interface.py
+++ b/tansycrank/interface.py
@@ -303,14 +303,17 @@
 class Send:
     """A further attempt for a part: first try, retry or hedge.
 
-    `connect_within` is the time after which it is taken back, as `UNCONNECTED`, if its connection is not up
-    and nothing of it was written. 0 leaves that to the host; hosts that cannot tell ignore it.
+    `connect_within` is the time after which it is taken back, as `UNCONNECTED`, if nothing of it was written,
+    since its connection is not up. 0 leaves that to the host; hosts that cannot tell ignore it.
+    `leave_within` is the time after which its last byte may not leave any more (rule 2: a part that may be
+    repeated for a while only); the host takes it back then, as `UNCONNECTED`. 0 for no such time.
     """
 
     part: int
     server: int
     time_out: float = 0.0
     connect_within: float = 0.0
+    leave_within: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tansycrank/platform/coordinator.py
+++ b/tansycrank/platform/coordinator.py
@@ -180,7 +180,7 @@
 
         part.attempts.append(self.pools.send(
             part.name, action.server, part.shard, query.request.text, action.time_out, ended,
-            action.connect_within, query.request.once,
+            action.connect_within, query.request.once, action.leave_within,
         ))
 
     def _cancel(self, action: io.Cancel) -> None:
--- a/tansycrank/platform/links.py
+++ b/tansycrank/platform/links.py
@@ -38,17 +38,19 @@
     timer: object = None
     connect_within: float = 0.0  # s that it waits for a connection; 0: as long as that is tried
     connecting: object = None  # the timer of that
+    leave_within: float = 0.0  # s until which its last byte may leave; 0: as long as it is waited for
+    leaving: object = None  # the timer of that
 
     def finish(self, outcome: Outcome, value: str = "", load: tuple[float, ...] = ()) -> None:
         """Report, once."""
         if self.ended:
             return
         self.ended = True
-        for timer in (self.timer, self.connecting):
+        for timer in (self.timer, self.connecting, self.leaving):
             if timer is not None and timer.active():
                 timer.cancel()
         done, self.done, self.link = self.done, None, None  # nothing may keep it alive
-        self.timer = self.connecting = None
+        self.timer = self.connecting = self.leaving = None
         done(outcome, value, load)
 
 
@@ -335,15 +337,16 @@
 
     def send(
         self, id: bytes, server: int, shard: int, text: bytes, time_out: float, done: Done,
-        connect_within: float = 0.0, once: bytes = b"",
+        connect_within: float = 0.0, once: bytes = b"", leave_within: float = 0.0,
     ) -> Sending:
         """Send a part, with the others of this step to its node; times are ms.
 
-        One that waits for its connection for `connect_within`, if that is not 0, is taken back: it never ran.
+        One that waits for `connect_within` for its connection, or behind another frame, is taken back, and
+        so is one whose last byte has not left after `leave_within`: it never ran. Where these are 0 none is.
         `done` is never called before this returns.
         """
         sending = Sending(id, shard, text, self.now + time_out / 1000, done, once)
-        sending.connect_within = connect_within / 1000
+        sending.connect_within, sending.leave_within = connect_within / 1000, leave_within / 1000
         node = self.nodes.get(server)
         if node is None:
             self.reactor.callLater(0, sending.finish, Outcome.UNCONNECTED)
@@ -398,18 +401,27 @@
             for sending in call:
                 self.reactor.callLater(0, sending.finish, Outcome.NOT_SENT)
         else:
-            for sending in call:
-                if sending.connect_within and not link.up:
+            link.carry(call)
+            for sending in [sending for sending in call if not sending.ended]:
+                if sending.connect_within and not sending.out:
                     sending.connecting = self.reactor.callLater(
                         sending.connect_within, self._take_back, sending
                     )
-            link.carry(call)
+                if sending.leave_within:
+                    sending.leaving = self.reactor.callLater(sending.leave_within, self._too_late, sending)
 
     def _take_back(self, sending: Sending) -> None:
         """Danger: a machine that is cut off costs half an aim until the connection to it fails."""
         if not sending.out:
             sending.finish(Outcome.UNCONNECTED)
 
+    def _too_late(self, sending: Sending) -> None:
+        """Danger: a repeat that leaves when nodes know its key no longer takes effect twice."""
+        if not sending.out:
+            sending.finish(Outcome.UNCONNECTED)
+        elif sending in sending.link.going:
+            sending.link.close()
+
     def _open(self, node: Node) -> Link | None:
         if self.count >= self.max_links and not self._make_room():
             return None
--- a/tests/platform/test_node_links.py
+++ b/tests/platform/test_node_links.py
@@ -25,10 +25,11 @@
         self.pools.place(1, "127.0.0.1", 7070)
         self.ends = {}
 
-    def send(self, *ids, time_out=1000.0, server=1, connect_within=0.0):
+    def send(self, *ids, time_out=1000.0, server=1, connect_within=0.0, leave_within=0.0):
         sendings = [
-            self.pools.send(id.encode(), server, 0, b"text", time_out, self.hear(id), connect_within)
-            for id in ids
+            self.pools.send(
+                id.encode(), server, 0, b"text", time_out, self.hear(id), connect_within, b"", leave_within
+            ) for id in ids
         ]
         self.pools.flush()
         return sendings
@@ -439,3 +440,44 @@
     assert len(node.peers) == 2
     peer.say(answer("a.1", "busy"))
     assert outcomes(node)["a.1"] == [Outcome.CANCELLED]
+
+
+@pytest.mark.parametrize("waits", ["for its connection", "behind another frame", "half written"])
+def test_a_part_that_may_leave_for_a_while_only_never_leaves_after_it(waits):
+    """Danger: a keyed repeat, chosen within its window, written when its connection came up after it."""
+    node = Node(max_links=1)
+    if waits == "for its connection":
+        node.send("a.1", leave_within=90.0)
+        peer = None
+    else:
+        peer = stuck(node, *(["b.1"] if waits == "behind another frame" else []))
+        node.send("a.1", leave_within=90.0)
+        assert [id for id, *_ in peer.calls()] == (["b.1"] if waits == "behind another frame" else ["a.1"])
+    node.reactor.advance(0.08)
+    assert "a.1" not in node.ends
+    node.reactor.advance(0.02)
+    assert outcomes(node)["a.1"] == [Outcome.UNCONNECTED]
+    if waits == "half written":
+        assert peer.transport.over  # what the system has of it can never become a whole frame
+    else:
+        peer = peer or node.peers[0].accept()
+        peer.transport.stuck = False
+        peer.protocol.resumeProducing()
+        assert not peer.calls()
+
+
+def test_a_part_that_has_left_in_its_while_is_waited_for_beyond_it():
+    node = Node()
+    peer = node.up("a.1", leave_within=90.0)
+    node.reactor.advance(0.2)
+    peer.say(answer("a.1"))
+    assert outcomes(node) == {"a.1": [Outcome.ANSWERED]} and not node.reactor.getDelayedCalls()
+
+
+def test_a_part_behind_a_frame_that_is_not_taken_is_taken_back_by_its_hedge_timer():
+    """Danger: a node that hangs with a full socket held what waited for it until its time was up."""
+    node = Node(max_links=1)
+    peer = stuck(node, "a.1")
+    node.send("b.1", connect_within=60.0)
+    node.reactor.advance(0.07)
+    assert outcomes(node)["b.1"] == [Outcome.UNCONNECTED] and not peer.transport.over
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -212,3 +212,18 @@
         bench.router.servers[server].lot_until = bench.now + 3000.0  # lots drawn, and lost
     _, (part,), _ = bench.query()
     assert [server for _, server in bench.attempts.get(part, [])] == [1]
+
+
+def test_rule_2_a_keyed_repeat_is_told_until_when_it_may_leave():
+    """Danger: it waits for its connection, and is written once its window is over."""
+    bench = Bench(settings(KEYED))
+    _, (part,), actions = bench.query(time_left=8000.0)
+    assert [send.leave_within for send in of(io.Send, actions)] == [0.0]  # the first one opens the window
+    bench.run(300)
+    repeats = of(io.Send, bench.end(part, 0, Outcome.BROKEN_OFF))
+    assert [send.leave_within for send in repeats] == [600.0 - 300.0 - 2 * bench.tick]
+    for cls in (UNSAFE, io.QueryClass(aim=1000.0, give_up=4000.0, worth=1.0)):
+        bench = Bench(settings(cls))
+        _, (part,), _ = bench.query()
+        [repeat] = of(io.Send, bench.end(part, 0, Outcome.UNCONNECTED))
+        assert repeat.leave_within == 0.0
