Leaving, standing still, a busy address: what a router owed in these instants and did not do

Found by reading; each place has a test in memory that was seen to fail without its change (program of, new tests). - front.py, _feed: while a router leaves, an answer given at once closes its connection in the middle of a read; what lay behind in the same read was taken, sent on, and could not be answered; noise there got a second answer. - daemon.py, _sweep: timers fire before sockets are read. After this process had stood still, clients and links whose bytes lay unread were closed as silent. The first look after that closes nothing. - daemon.py, _listen: an address still held by the process before left the router deaf for good; tried again every 0.1 s. - admit: a fault in taking one query left those read in the same turn untaken; a fault in a look ended all later looks. - discovery.py: a whole list without a length is read at its FIN; a reset is no end. - An Idempotency-Key given twice is refused: which of them would count?

--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -12,6 +12,7 @@
 from collections.abc import Mapping
 
 import msgspec
+from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
 from tansycrank import interface as io
@@ -28,6 +29,7 @@
 TELL = 10.0  # s between lines about how it goes
 LEAVE_EVERY = 0.05  # s between looks at what is still open while leaving
 READY_WITHIN = 2.0  # s for discovery's first word; the known list serves without it
+LISTEN_AGAIN = 0.1  # s until an address that another process still holds is tried again
 PUSHED_WITHIN = 20.0  # s where lists are pushed; the platform gives a start 30
 
 _logger = logging.getLogger("tansycrank")
@@ -57,10 +59,13 @@
             reactor, settings.module, settings.seed, self.pools, log, self.discovery.set_watch,
             self.discovery.fetch,
         )
-        self.front = Front(reactor, settings, self.coordinator)
+        self.front = Front(reactor, settings, self.coordinator, log)
         self._swept = 0.0
         self.discovery_failures = 0
         self.stopping = self.stopped = self._closed = self._doubted = False
+        self._heard = False  # whether there is a list, or no more waiting for one
+        self._again = None  # the timer of an address that is tried again
+        self._stood = False  # whether this process had stood still before the last look
         self._calls = [LoopingCall(self._sweep), LoopingCall(self._tell)]
         for call in self._calls:
             call.clock = reactor
@@ -78,10 +83,20 @@
             memory_mb=self.settings.memory_mb, sockets=self.settings.sockets)
 
     def _listen(self) -> None:
+        self._again = None
+        if self.stopping:
+            return
         host, port = self.settings.listen
-        self.front.port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
+        try:
+            self.front.port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
+        except CannotListenError as problem:  # danger: the process before is not gone yet, this one deaf
+            log("the address cannot be listened on yet", host=host, port=port, problem=str(problem))
+            self._again = self.reactor.callLater(LISTEN_AGAIN, self._listen)
+            return
         self.front.port.numberAccepts = configuration.ACCEPTS
         log("listening", host=host, port=port)
+        if self._heard:
+            self._ready()
 
     def _ready(self) -> None:
         """Danger: where lists are pushed, what the agent has counts from a process's first moment on.
@@ -89,11 +104,14 @@
         A front that has not noticed the death of the last process sends at once: until there is a list of the
         agent's, nobody listens, and what comes is refused by the system.
         """
-        if not self.front.ready and not self.stopping:
-            if self.front.port is None:
-                self._listen()
+        self._heard = True
+        if self.front.ready or self.stopping:
+            return
+        if self.front.port is not None:
             self.front.ready = True
             log("ready", nodes=len(self.names), version=self.names.version)
+        elif self._again is None:
+            self._listen()  # which comes back here
 
     # --- discovery --------------------------------------------------------------------
 
@@ -204,10 +222,16 @@
     def _sweep(self) -> None:
         now = self.reactor.seconds()
         late, self._swept = now - self._swept - SWEEP, now
-        if late > LATE:
-            log("late loop turn", ms=round(late * 1000, 1))
-        self.pools.sweep()
-        self.front.sweep()
+        try:
+            if late > LATE:
+                log("late loop turn", ms=round(late * 1000, 1))
+            # Danger: what came while this process stood still is not read yet, and who sent it seems silent.
+            self._stood = late > LATE and not self._stood
+            if not self._stood:
+                self.pools.sweep()
+                self.front.sweep()
+        except Exception as error:  # danger: no further look, for good
+            log("a look at what waits failed", error=repr(error), traceback=True)
 
     def _tell(self) -> None:
         usage = resource.getrusage(resource.RUSAGE_SELF)
--- a/tansycrank/platform/discovery.py
+++ b/tansycrank/platform/discovery.py
@@ -7,6 +7,7 @@
 
 import httptools
 import msgspec
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol, connectionDone
 
 from tansycrank.platform.settings import BEAT, CALL_WITHIN, MAX_LIST, Listing
@@ -64,7 +65,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.buffer = bytearray()
         self.objects = Objects()
-        self.good = self.ended = False
+        self.good = self.ended = self.framed = False
         self.connector = None
         self.timer = reactor.callLater(CALL_WITHIN, self.end, False)
 
@@ -80,6 +81,9 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.end(False)
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.framed = self.framed or name.lower() in (b"content-length", b"transfer-encoding")
+
     def on_headers_complete(self) -> None:
         self.good = self.parser.get_status_code() == 200
         if self.watch and not self.ended:
@@ -113,6 +117,8 @@
                 self.on_line(listing)
 
     def connectionLost(self, reason=connectionDone) -> None:  # noqa: N802
+        if not self.framed and reason.check(ConnectionDone):  # an answer without a length ends so
+            self.on_message_complete()  # danger: a reset is no end, wherever it falls
         self.end(False)
 
     def end(self, good: bool) -> None:
--- a/tansycrank/platform/front.py
+++ b/tansycrank/platform/front.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import httptools
@@ -32,6 +33,7 @@
 )
 
 READY, HEALTHY = b"/-/ready", b"/-/healthy"
+ONCE_ONLY = (b"host", b"idempotency-key")  # and all of x-: which of two would count?
 
 
 @dataclass(slots=True, eq=False)
@@ -94,15 +96,18 @@
     def _feed(self, data: bytes) -> None:
         if self.in_head:
             self.head += len(data)
+        fault = None
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._refuse(400, "no protocol but HTTP/1.1")
+            fault = 400, "no protocol but HTTP/1.1"
         except httptools.HttpParserError as problem:
-            self._refuse(*self.fault or (400, f"not HTTP: {problem}"))
+            fault = self.fault or (400, f"not HTTP: {problem}")
         else:
             if self.in_message and self.in_head and self.head > MAX_HEAD:
-                self._refuse(431, f"a head holds at most {MAX_HEAD} bytes")
+                fault = 431, f"a head holds at most {MAX_HEAD} bytes"
+        if fault is not None and not self.closing:  # danger: a second answer behind the last one
+            self._refuse(*fault)
 
     # --- what the parser found --------------------------------------------------------
 
@@ -115,7 +120,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         name = name.lower()
-        if name in self.headers and (name == b"host" or name.startswith(b"x-")):
+        if name in self.headers and (name in ONCE_ONLY or name.startswith(b"x-")):
             self._stop(400, f"{name.decode('ascii', 'replace')}: given twice")
         self.headers[name] = value
 
@@ -135,6 +140,8 @@
             self._stop(413, f"a body holds at most {MAX_BODY} bytes")
 
     def on_message_complete(self) -> None:
+        if self.closing:  # danger: sent on although its answer cannot leave any more
+            raise ValueError("after the last answer of its connection")
         if len(self.slots) >= MAX_PIPELINE:
             self._stop(503, f"a connection may have {MAX_PIPELINE} requests open")
         slot = Slot(self.parser.should_keep_alive())
@@ -191,6 +198,9 @@
                 slot.query = self.front.coordinator.take(told, reply, (self.front.now - self.read_at) * 1000)
             except Refused as refused:
                 self._unusable(slot, refused)
+            except Exception as error:  # danger: one query's fault, and those read with it are never taken
+                self.front.log("a query could not be taken", error=repr(error), traceback=True)
+                self._unusable(slot, Refused(503, "it could not be taken"))
         self.flush()
 
     def _unusable(self, slot: Slot, refused: Refused) -> None:
@@ -296,8 +306,10 @@
 
     noisy = False
 
-    def __init__(self, reactor, settings: Settings, coordinator: Coordinator) -> None:
-        self.reactor, self.settings, self.coordinator = reactor, settings, coordinator
+    def __init__(
+        self, reactor, settings: Settings, coordinator: Coordinator, log: Callable[..., None]
+    ) -> None:
+        self.reactor, self.settings, self.coordinator, self.log = reactor, settings, coordinator, log
         self.connections: dict[Connection, None] = {}  # oldest first
         self.unused: dict[Connection, None] = {}  # after a query, no other open; longest unused first
         self.settling: dict[Connection, int] = {}  # with requests read and not taken: looks at it still due
@@ -340,6 +352,8 @@
     def _settled(self) -> None:
         self._look = None
         for connection in list(self.settling):
+            if connection not in self.settling:  # it went with one before it
+                continue
             self.settling[connection] -= 1
             if not self.settling[connection]:
                 del self.settling[connection]
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -4,6 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from live import TOLD, Live, answer, body, config, post, status
+from twisted.internet.error import CannotListenError
+from twisted.internet.testing import MemoryReactorClock
 
 from tansycrank.platform import settings as configuration
 
@@ -66,6 +68,7 @@
     "length of 60 MB": post().replace(b"Content-Length: ", b"Content-Length: 62914560\r\nX-Was: "),
     "two lengths": post(more="Content-Length: 3\r\n"),
     "both framings": post(more="Transfer-Encoding: chunked\r\n"),
+    "two keys of a repeat": post(more="Idempotency-Key: a\r\nIdempotency-Key: b\r\n"),
     "two ids": post(more="X-Request-Id: other\r\n"),
     "no host": post().replace(b"Host:", b"Hust:"),
     "head without end": b"POST /look HTTP/1.1\r\n" + b"X-A: " + b"a" * 20_000,
@@ -425,3 +428,73 @@
     written = unsent.take()
     assert status(written) == 503 and b"Retry-After: " in written
     assert status(sent.take()) in (503, 504) and live.reactor.hasStopped
+
+
+def test_nothing_behind_the_last_answer_of_a_connection_is_taken_or_answered(live):
+    """Danger: read with the request before it, sent on, and its answer cannot leave any more."""
+    live.daemon.front.draining = True
+    probe = b"GET /-/healthy HTTP/1.1\r\nHost: a\r\n\r\n"
+    for behind in (post(id="behind"), b"\x16\x03\x01\r\n\r\n"):
+        transport = live.ask(probe + behind)
+        assert transport.over and transport.take().count(b"HTTP/1.1 ") == 1
+    assert not live.sent() and not live.daemon.coordinator.counts["taken"]
+
+
+def test_a_fault_in_taking_one_query_costs_that_one_alone(live, monkeypatch):
+    take = live.daemon.coordinator.take
+
+    def faulty(told, *more):
+        if told.id == b"bad":
+            raise RuntimeError("a fault of ours")
+        return take(told, *more)
+
+    monkeypatch.setattr(live.daemon.coordinator, "take", faulty)
+    bad, good = live.client(), live.client()
+    bad[0].dataReceived(post(id="bad"))
+    good[0].dataReceived(post(id="good"))
+    live.run(0)
+    assert status(bad[1].take()) == 503 and not bad[1].over
+    [(peer, id, _)] = live.sent()
+    peer.say(answer(id))
+    live.run(0)
+    assert status(good[1].take()) == 200
+
+
+def test_who_seems_silent_because_this_process_stood_still_is_read_first(live):
+    """Danger: timers fire before sockets are read, and a first request in the system goes unanswered."""
+    protocol, transport = live.client()
+    node = live.ask(post(id="first"))
+    [(peer, id, _)] = live.sent()
+    peer.say(answer(id)[:-3])
+    live.reactor.advance(2.5)  # one turn that late
+    assert not transport.over and not peer.transport.over
+    peer.say(answer(id)[-3:])
+    live.ask(post(id="second"), (protocol, transport))
+    assert [id for _, id, _ in live.sent()] == ["second.0"]
+    assert status(node.take()) in (200, 503)
+
+
+def test_who_is_silent_is_closed_though_every_look_comes_late(live):
+    _, transport = live.client()
+    for _ in range(8):
+        live.reactor.advance(0.4)
+    assert transport.over
+
+
+def test_an_address_that_another_process_still_holds_is_tried_again(monkeypatch):
+    """Danger: a restart while the old process is closing: deaf for good, and never ready."""
+    listen, refusals = MemoryReactorClock.listenTCP, [1, 1, 1]
+
+    def busy(self, port, *more, **named):
+        if refusals:
+            refusals.pop()
+            raise CannotListenError("127.0.0.1", port, OSError(98, "in use"))
+        return listen(self, port, *more, **named)
+
+    monkeypatch.setattr(MemoryReactorClock, "listenTCP", busy)
+    live = Live()
+    live.discovery[0].refuse()
+    live.run(0.25)
+    assert not live.daemon.front.ready
+    live.run(0.1)
+    assert live.daemon.front.ready and len(live.reactor.tcpServers) == 1
