A missing or absurd setting is named by its place, whichever it is

Each value of a configuration replaced by a word, null, a list, -1 and others, or nothing: 8 replacements ended in an AttributeError, 197 were told without a place ("'>=' not supported between instances of 'str' and 'int'"), flags took anything. Half a budget was taken for none and is an error now; so is a class name that stands twice.

--- a/tansycrank/platform/settings.py
+++ b/tansycrank/platform/settings.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
@@ -70,9 +71,12 @@
     full: bool = False
 
 
+Above0 = Annotated[float, msgspec.Meta(gt=0)]
+
+
 class _Limits(msgspec.Struct):
-    cores: float = 1.0
-    memory_mb: float = 192
+    cores: Above0 = 1.0
+    memory_mb: Above0 = 192
     sockets: int = 256
 
 
@@ -91,9 +95,9 @@
 
 
 class _Caps(msgspec.Struct, rename="camel"):
-    streams_per_conn: int = 1
-    connect_timeout: float = 250.0
-    conn_idle: float = 15_000.0
+    streams_per_conn: Annotated[int, msgspec.Meta(ge=0)] = 1
+    connect_timeout: Above0 = 250.0
+    conn_idle: Above0 = 15_000.0
 
 
 class _Sockets(msgspec.Struct):
@@ -173,10 +177,16 @@
     """Check a configuration; every fault is a ConfigError that names its place."""
     try:
         file = msgspec.json.decode(raw, type=_File)
-        sockets = msgspec.json.decode(file.settings, type=_Sockets)
         module = settings_from(bytes(file.settings).decode())
     except (ValueError, TypeError) as problem:
         raise ConfigError(f"NODE_CONFIG: {problem}") from problem
+    try:
+        sockets = msgspec.json.decode(file.settings, type=_Sockets)
+    except ValueError as problem:  # msgspec's faults name the place, from $ on
+        raise ConfigError(f"NODE_CONFIG: {problem}".replace("`$", "`settings")) from problem
+    names = [cls.name for cls in sockets.services]
+    if len(set(names)) < len(names):
+        raise ConfigError(f"settings.services[].name: a name stands twice in {names}")
     if any(cls.follow_up for cls in module.classes):
         raise ConfigError("settings.familyInfo.followUp: the platform's protocol has no second step")
     if file.limits.sockets < 96:
@@ -195,7 +205,7 @@
         sockets=file.limits.sockets,
         known=file.known,
         module=replace(module, must_watch=True),
-        classes={cls.name: index for index, cls in enumerate(sockets.services)},
+        classes={name: index for index, name in enumerate(names)},
         zones=tuple(sockets.localities),
         streams=max(sockets.caps.streams_per_conn, 1),
         connect_timeout=sockets.caps.connect_timeout,
--- a/tansycrank/wire.py
+++ b/tansycrank/wire.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import json
+import math
 import struct
-from collections.abc import Iterable
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass
 
 from tansycrank import interface as io
@@ -248,75 +249,105 @@
     return record
 
 
+_FIELDS = (  # of `interface.Settings`: the group of the settings object, the key there, what it is
+    ("me", "", "me", "count"),
+    ("routers", "", "replicasOfMe", "count"),
+    ("zone", "", "zone", "count"),
+    ("tick", "", "step", "number"),
+    ("shards", "familyInfo", "slabs", "count"),
+    ("cells", "familyInfo", "positions", "count"),
+    ("reach", "familyInfo", "inARow", "count"),
+    ("call_parts", "familyInfo", "bundleMax", "count"),
+    ("call_work", "familyInfo", "perCallWork", "number"),
+    ("attempts_cap", "caps", "attemptsCap", "count"),
+    ("second_copies", "caps", "secondCopies", "flag"),
+    ("can_cancel", "caps", "cancel", "flag"),
+    ("can_probe", "caps", "mayProbe", "flag"),
+    ("can_tell_peers", "caps", "peers", "flag"),
+    ("can_hold_off", "caps", "retryAfter", "flag"),
+    ("hold_off_max", "caps", "maxRetryAfter", "number"),
+    ("open_cap", "caps", "openCap", "count"),
+    ("marks_repeats", "clients", "marksRetry", "flag"),
+    ("ask_every", "rules", "askEvery", "number"),
+    ("answer_grace", "rules", "graceToAnswer", "number"),
+    ("drain_grace", "rules", "stopSendingWithin", "number"),
+    ("cold_multiple", "rules", "overloadFactor", "number"),
+    ("cold_window", "rules", "fall", "number"),
+    ("cold_from", "rules", "coldFrom", "number"),
+    ("cold_time", "rules", "cold", "number"),
+    ("price_crossing", "prices", "crossZone", "number"),
+    ("price_waste", "prices", "waste", "number"),
+    ("price_probe", "prices", "probe", "number"),
+    ("price_late_fail", "prices", "lateFail", "number"),
+)
+_BUDGET = (
+    ("budget_floor", "rules", "extraFloor", "number"),
+    ("budget_share", "rules", "repeatRatio", "number"),
+    ("budget_window", "rules", "countedOver", "number"),
+)
+_CLASS_FIELDS = (
+    ("aim", "aim"), ("give_up", "giveUp"), ("worth", "points"), ("late_worth", "lateWorth"),
+    ("dedup_window", "window"),
+)
+_CLASS_SHARES = (
+    ("floor", "minShare"), ("whole_at", "wholeAt"), ("short_worth", "shortWorth"), ("follow_up", "followUp"),
+)
+
+
 def settings_from(info: str) -> io.Settings:
-    """Read the settings text of an instance; a missing key is named with its place."""
+    """Read the settings text of an instance; ValueError names the place of what is missing or absurd."""
     try:
         raw = json.loads(info)
     except json.JSONDecodeError as error:
         raise ValueError(f"settings: not JSON: {error}") from error
     root = _Node(raw, "settings")
-    family, caps, rules, prices = root["familyInfo"], root["caps"], root["rules"], root["prices"]
-    budget = "repeatRatio" in rules.raw
-    return io.Settings(
-        classes=tuple(_class(family, node, index) for index, node in enumerate(root.items("services"))),
-        me=root["me"],
-        routers=root["replicasOfMe"],
-        zone=root["zone"],
-        zones=len(root["localities"]),
-        tick=root["step"],
-        shards=family["slabs"],
-        cells=family["positions"],
-        reach=family["inARow"],
-        call_parts=family["bundleMax"],
-        call_work=family["perCallWork"],
-        attempts_cap=caps["attemptsCap"],
-        second_copies=caps["secondCopies"],
-        can_cancel=caps["cancel"],
-        can_probe=caps["mayProbe"],
-        can_tell_peers=caps["peers"],
-        can_hold_off=caps["retryAfter"],
-        hold_off_max=caps["maxRetryAfter"],
-        marks_repeats=root["clients"]["marksRetry"],
-        open_cap=caps["openCap"],
-        must_ask=root["discovery"] == "ask",
-        ask_every=rules["askEvery"],
-        answer_grace=rules["graceToAnswer"],
-        drain_grace=rules["stopSendingWithin"],
-        cold_multiple=rules["overloadFactor"],
-        cold_window=rules["fall"],
-        cold_from=rules["coldFrom"],
-        cold_time=rules["cold"],
-        budget_floor=rules["extraFloor"] if budget else None,
-        budget_share=rules["repeatRatio"] if budget else None,
-        budget_window=rules["countedOver"] if budget else None,
-        price_crossing=prices["crossZone"],
-        price_waste=prices["waste"],
-        price_probe=prices["probe"],
-        price_late_fail=prices["lateFail"],
+    groups = {name: root.node(name) for name in ("familyInfo", "caps", "clients", "rules", "prices")}
+    groups[""] = root
+    budget = any(key in groups["rules"].raw for _, _, key, _ in _BUDGET)  # danger: half of one taken for none
+    fields = _FIELDS + (_BUDGET if budget else ())
+    told = {name: getattr(groups[group], kind)(key) for name, group, key, kind in fields}
+    places = {name: f"{groups[group].path}.{key}" for name, group, key, _ in fields}
+    classes = tuple(
+        _class(groups["familyInfo"], node, index) for index, node in enumerate(root.items("services"))
     )
+    places |= {"classes": "settings.services", "zones": "settings.localities"}
+    must_ask = root.word("discovery", ("ask", "push")) == "ask"
+    zones = len(root.listed("localities"))
+    return _made(io.Settings, places, classes=classes, zones=zones, must_ask=must_ask, **told)
 
 
 def _class(family: _Node, node: _Node, index: int) -> io.QueryClass:
-    def per_class(key: str) -> float:
-        values = family[key]
-        if not isinstance(values, list) or index >= len(values):
-            raise ValueError(f"{family.path}.{key}: no figure for class {index}")
-        return values[index]
-
-    if node["effect"] not in EFFECTS:
-        raise ValueError(f"{node.path}.effect: unknown word {node['effect']!r}")
-    return io.QueryClass(
-        aim=node["aim"],
-        give_up=node["giveUp"],
-        worth=node["points"],
-        late_worth=node["lateWorth"],
-        effect=EFFECTS[node["effect"]],
-        dedup_window=node["window"],
-        floor=per_class("minShare"),
-        whole_at=per_class("wholeAt"),
-        short_worth=per_class("shortWorth"),
-        follow_up=per_class("followUp"),
-    )
+    told: dict[str, object] = {name: node.number(key) for name, key in _CLASS_FIELDS}
+    places = {name: f"{node.path}.{key}" for name, key in _CLASS_FIELDS}
+    for name, key in _CLASS_SHARES:
+        values, places[name] = family.listed(key), f"{family.path}.{key}[{index}]"
+        if index >= len(values):
+            raise ValueError(f"{places[name]}: no figure for class {index}")
+        told[name] = _number(values[index], places[name])
+    _count(told["follow_up"], places["follow_up"])
+    return _made(io.QueryClass, places, effect=EFFECTS[node.word("effect", EFFECTS)], **told)
+
+
+def _made(kind: type, places: Mapping[str, str], **told: object):
+    """A record of these values; what it does not take is told with the place that it came from."""
+    try:
+        return kind(**told)
+    except ValueError as problem:
+        name, colon, rest = str(problem).partition(":")
+        raise ValueError(f"{places.get(name, name)}{colon}{rest}") from problem
+
+
+def _number(value: object, path: str) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise ValueError(f"{path}: a number is needed, got {value!r:.40}")
+    return value
+
+
+def _count(value: object, path: str) -> int:
+    number = _number(value, path)
+    if number != int(number):
+        raise ValueError(f"{path}: a whole number is needed, got {number}")
+    return int(number)
 
 
 class _Node:
@@ -328,15 +359,41 @@
         self.raw = raw
         self.path = path
 
-    def __getitem__(self, key: str):
+    def __getitem__(self, key: str) -> object:
         if key not in self.raw:
             raise ValueError(f"{self.path}.{key}: required key is missing")
-        value = self.raw[key]
-        return _Node(value, f"{self.path}.{key}") if isinstance(value, dict) else value
+        return self.raw[key]
+
+    def node(self, key: str) -> _Node:
+        """The object under this key."""
+        return _Node(self[key], f"{self.path}.{key}")
+
+    def number(self, key: str) -> float:
+        """A finite number."""
+        return _number(self[key], f"{self.path}.{key}")
+
+    def count(self, key: str) -> int:
+        """A whole number."""
+        return _count(self[key], f"{self.path}.{key}")
+
+    def flag(self, key: str) -> bool:
+        """True or false, or 1 or 0."""
+        if self[key] not in (True, False):
+            raise ValueError(f"{self.path}.{key}: true or false is needed, got {self[key]!r:.40}")
+        return bool(self[key])
+
+    def word(self, key: str, known: Container[str]) -> str:
+        """One of the words that are known."""
+        if not isinstance(self[key], str) or self[key] not in known:
+            raise ValueError(f"{self.path}.{key}: unknown word {self[key]!r:.40}")
+        return self[key]
+
+    def listed(self, key: str) -> list:
+        """A list."""
+        if not isinstance(self[key], list):
+            raise ValueError(f"{self.path}.{key}: a list is needed, got {self[key]!r:.40}")
+        return self[key]
 
     def items(self, key: str) -> list[_Node]:
         """The objects of a list."""
-        values = self[key]
-        if not isinstance(values, list):
-            raise ValueError(f"{self.path}.{key}: a list is needed")
-        return [_Node(value, f"{self.path}.{key}[{index}]") for index, value in enumerate(values)]
+        return [_Node(value, f"{self.path}.{key}[{index}]") for index, value in enumerate(self.listed(key))]
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -4,7 +4,9 @@
 
 import msgspec
 import pytest
-from live import START, Live, answer, config, entry, post, status
+from live import START, TOLD, Live, answer, config, entry, post, status
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.python.failure import Failure
 
 from tansycrank import interface as io
 from tansycrank.platform import settings as configuration
@@ -168,6 +170,55 @@
         configuration.parse(raw, {})
 
 
+def changed(raw, path, value):
+    """The configuration with one value replaced; ... takes it out."""
+    whole = json.loads(raw)
+    at = whole
+    for key in path[:-1]:
+        at = at[key]
+    if value is ...:
+        del at[path[-1]]
+    else:
+        at[path[-1]] = value
+    return json.dumps(whole).encode()
+
+
+def figures(node, path=()):
+    """The places of all numbers in a configuration."""
+    for key, value in node.items() if isinstance(node, dict) else enumerate(node):
+        if isinstance(value, dict | list):
+            yield from figures(value, (*path, key))
+        elif isinstance(value, int | float) and not isinstance(value, bool):
+            yield *path, key
+
+
+BUDGET = {"extraFloor": 5, "repeatRatio": 0.05, "countedOver": 2000.0}
+WHOLE = config(settings=TOLD | {"rules": TOLD["rules"] | BUDGET})
+
+
+@pytest.mark.parametrize("path", [
+    *figures({"settings": json.loads(WHOLE)["settings"]}), ("settings", "discovery"), ("settings", "rules"),
+    ("settings", "services", 0, "effect"), ("settings", "services"), ("settings", "caps", "cancel"),
+], ids=lambda path: ".".join(map(str, path)))
+def test_an_absurd_value_anywhere_in_the_settings_is_named_with_its_place(path):
+    """Danger: a number that is a word comes up in the middle of the day, or its fault says nothing."""
+    named = path[:-1] if isinstance(path[-1], int) else path  # of a list that is too short its end is told
+    place = ".".join(map(str, named)).replace(".0", "[0]").replace(".1", "[1]")
+    optional = path[-1] in ("streamsPerConn", "connectTimeout", "connIdle")
+    for absurd in ("x", None, [], -1, *([] if optional else [...])):
+        with pytest.raises(configuration.ConfigError) as raised:
+            configuration.parse(changed(WHOLE, path, absurd), {})
+        assert place in str(raised.value)
+
+
+def test_half_a_budget_or_a_name_given_twice_is_no_setting():
+    for key in BUDGET:
+        with pytest.raises(configuration.ConfigError, match=key):
+            configuration.parse(changed(WHOLE, ("settings", "rules", key), ...), {})
+    with pytest.raises(configuration.ConfigError, match="name"):
+        configuration.parse(changed(WHOLE, ("settings", "services", 1, "name"), "look"), {})
+
+
 def test_a_missing_file_is_told():
     with pytest.raises(configuration.ConfigError, match="NODE_CONFIG"):
         configuration.load({"NODE_CONFIG": "/nowhere/at/all.json"})
@@ -272,3 +323,27 @@
     old.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(late) + late)
     live.run(0)
     assert len(states(live)) == 3
+
+
+@pytest.mark.parametrize("end, believed", [(ConnectionDone, True), (ConnectionLost, False)])
+def test_a_whole_list_without_a_length_counts_at_its_end_and_a_reset_is_no_end(live, end, believed):
+    live.daemon.discovery.fetch()
+    live.run(0)
+    call = live.discovery[1].accept()
+    call.say(b'HTTP/1.1 200 OK\r\n\r\n{"version":9,"full":true,"servers":[]}'.replace(
+        b"[]", json.dumps([entry(2)]).encode()
+    ))
+    assert len(states(live)) == 3
+    call.protocol.connectionLost(Failure(end()))
+    live.run(0)
+    assert (states(live) == {2: io.Status.READY}) == believed
+
+
+def test_a_list_of_a_stated_length_that_ends_too_soon_is_none(live):
+    live.daemon.discovery.fetch()
+    live.run(0)
+    call = live.discovery[1].accept()
+    call.say(b'HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{"version":9,"full":true,"servers":[]}')
+    call.transport.end()
+    live.run(0)
+    assert len(states(live)) == 3 and not live.daemon.discovery.calls
