--- a/tests/platform/live.py
+++ b/tests/platform/live.py
@@ -127,8 +127,9 @@
                 continue
             while rest:
                 line, _, rest = rest.partition(b"\n")
-                id, shard, wait, length = line.decode().split()
-                parts.append((id, int(shard), int(wait.removeprefix("d=")), rest[: int(length)]))
+                id, shard, told, length = line.decode().split()
+                wait = told.partition(",")[0].removeprefix("d=")
+                parts.append((id, int(shard), int(wait), rest[: int(length)]))
                 rest = rest[int(length) :]
         return parts
 
--- a/tests/platform/real.py
+++ b/tests/platform/real.py
@@ -34,6 +34,8 @@
 
 def leave(connection, how):
     """A peer goes: FIN, or RST."""
+    with contextlib.suppress(OSError):  # who reads it in a thread lets go of it
+        connection.shutdown(socket.SHUT_RD)
     if how == "RST":
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     connection.close()
@@ -145,8 +147,8 @@
 class Program:
     """One router as a process, its nodes listed under 1, 2, ... `told` replaces settings, by group."""
 
-    def __init__(self, folder, nodes, told=None, listed=None):
-        self.nodes, self.discovery = nodes, Discovery()
+    def __init__(self, folder, nodes, told=None, listed=None, cells=None, limits=None, ready=True):
+        self.nodes, self.discovery, self.cells = nodes, Discovery(), cells
         free = socket.create_server(("127.0.0.1", 0))
         self.port = free.getsockname()[1]
         free.close()
@@ -164,17 +166,19 @@
         path = folder / "config.json"
         path.write_bytes(config(
             listen=f"127.0.0.1:{self.port}", discovery=f"127.0.0.1:{self.discovery.port}", known=known,
-            settings=settings,
+            settings=settings, **({"limits": limits} if limits else {}),
         ))
         environ = os.environ | {"NODE_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
         self.process = subprocess.Popen(
             [sys.executable, "-m", "tansycrank", "run"], cwd=folder, env=environ, stderr=subprocess.PIPE
         )
         self.log, self.lines = queue.Queue(), []
-        threading.Thread(target=self._read_log, daemon=True).start()
-        self.discovery.watch()
-        self.discovery.say(5)
-        self.logged("ready")
+        self.reading = threading.Thread(target=self._read_log, daemon=True)
+        self.reading.start()
+        if ready:
+            self.discovery.watch()
+            self.discovery.say(5)
+            self.logged("ready")
 
     def _read_log(self):
         for line in self.process.stderr:
@@ -182,14 +186,22 @@
 
     def logged(self, event):
         """Wait for a line of the log."""
+        last = time.monotonic() + PATIENCE
         while True:
-            line = self.log.get(timeout=PATIENCE)
+            line = self.log.get(timeout=max(last - time.monotonic(), 0.0))
             self.lines.append(line)
             if f'"event":"{event}"'.encode() in line:
                 return
 
+    def said(self, event):
+        """How often the program logged this, from its start to its end."""
+        self.reading.join(PATIENCE)
+        self.lines += list(self.log.queue)
+        return sum(f'"event":"{event}"'.encode() in line for line in self.lines)
+
     def entry(self, number, state="in_service"):
-        return entry(number, state, addr=f"127.0.0.1:{self.nodes[number - 1].port}")
+        cell = {"cell": self.cells[number - 1]} if self.cells else {}
+        return entry(number, state, addr=f"127.0.0.1:{self.nodes[number - 1].port}", **cell)
 
     def signal(self, number):
         self.process.send_signal(number)
@@ -207,6 +219,12 @@
             connection.sendall(one)
         return connection
 
+    def turned(self):
+        """All that was sent to the program before this has been read, and taken or refused."""
+        for _ in range(6):
+            with self.client(b"GET /-/healthy HTTP/1.1\r\nHost: a\r\n\r\n") as probe:
+                assert read_answer(probe)[0] == 200
+
     def ended(self):
         """End the program; all that it has sent has come by then: the ids that reached each node."""
         self.process.kill()
--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -1,5 +1,6 @@
 """What crosses: something ends on one side while the other is in the middle of it. On loopback sockets."""
 
+import contextlib
 import json
 import signal
 import time
@@ -9,7 +10,10 @@
 from real import Node, Program, leave, read_answer, until
 
 LONG = {"aim": 6000.0, "giveUp": 9000.0}  # a part waits for its connection for a third of the aim
+KEYED = LONG | {"effect": "idempotency_key"}
+KEY = "Idempotency-Key: 69df97975326601f\r\n"
 TEXT = "x" * 60_000
+FEW = {"cores": 1.0, "memory_mb": 64, "sockets": 96}  # descriptors: 48 clients, 8 links
 
 
 def big(id, *shards, path="/look"):
@@ -176,3 +180,178 @@
     assert program.discovery.asked.startswith(b"GET /api/targets?watch=1&after=4 ")
     ids = program.ended()
     assert "q4.0" in ids[1]
+
+
+@pytest.mark.parametrize("how", ["FIN", "RST"])
+def test_a_client_that_left_behind_its_own_open_request_has_neither_sent(start, how):
+    node = Node(serves=False)
+    program = start(node, told={"services": LONG})
+    client = program.client(post(id="open", deadline=8000))
+    node.got("open.0")
+    program.halt()
+    client.sendall(post(id="gone", deadline=8000))
+    leave(client, how)
+    program.go_on()
+    with node.changed:
+        assert node.changed.wait_for(lambda: node.given_up == ["open.0"], 30)
+    node.serves = True
+    served(program)
+    assert program.ended() == [["open.0", "marker.0"]]
+
+
+@pytest.mark.parametrize("how", ["FIN", "RST"])
+def test_a_client_that_left_in_the_queue_of_a_full_router_has_nothing_sent(start, how):
+    nodes = [Node(serves=False) for _ in range(8)]  # each gets nine at most at first
+    told = {"services": LONG, "caps": {"openCap": 1000}}
+    program = start(*nodes, told=told, limits=FEW)
+
+    def where(id):
+        return until(lambda: next((node for node in nodes if id in node.ids), None), id)
+
+    clients = []
+    for n in range(48):  # half of the descriptors: no more are accepted
+        clients.append(program.client(post(id=f"busy{n}", deadline=8000)))
+        where(f"busy{n}.0")
+    leave(program.client(post(id="gone", deadline=8000)), how)
+    marker = program.client(post(id="marker", deadline=8000))
+    for node in nodes:
+        node.serves = True
+    for n in range(4):  # whose connections then make room
+        where(f"busy{n}.0").got(f"busy{n}.0").sendall(answer(f"busy{n}.0"))
+        assert read_answer(clients[n])[0] == 200
+    assert read_answer(marker)[0] == 200
+    ids = sum(program.ended(), [])
+    assert "gone.0" not in ids and ids.count("marker.0") == 1
+
+
+@pytest.mark.parametrize("how", ["FIN", "RST"])
+def test_a_client_that_left_while_nobody_could_be_sent_to_has_nothing_sent(start, how):
+    """It waits in the module's line, for there is no node yet."""
+    node = Node()
+    program = start(node, told={"services": LONG}, listed=())
+    client = program.client(post(id="gone", deadline=8000))
+    program.turned()
+    leave(client, how)
+    program.turned()
+    program.discovery.say(6, program.entry(1))
+    served(program)
+    assert program.ended() == [["marker.0"]]
+
+
+CELLS = {"positions": 8, "inARow": 1, "slabs": 72, "bundleMax": 9}  # one node a shard, one link a node
+
+
+@pytest.mark.parametrize("end", ["FIN", "RST", "drain"])
+def test_what_waits_behind_a_frame_of_a_hung_node_never_leaves(start, end):
+    node = Node(reads=False, narrow=True)
+    caps = {"streamsPerConn": 100, "cancel": False}  # nobody is told of what is not worth its work any more
+    told = {"services": LONG, "familyInfo": CELLS, "caps": caps}
+    program = start(node, *(Node() for _ in range(7)), told=told, cells=range(8), limits=FEW)
+    held = program.client(big("held", *range(0, 72, 8)))
+    until(lambda: node.blocked, "a full socket")
+    client = program.client(post(id="gone", deadline=8000))
+    program.turned()
+    if end == "drain":
+        program.discovery.say(6, program.entry(1, "terminating"))
+        program.logged("a frame its node does not take")
+        client.close()
+    else:
+        leave(client, end)
+    program.turned()
+    node.wakes.set()
+    if end != "drain":
+        assert read_answer(held)[0] == 200
+        served(program)
+    ids = program.ended()[0]
+    assert "gone.0" not in ids and (end == "drain" or ids[-1] == "marker.0")
+
+
+def test_a_keyed_repeat_whose_connection_comes_up_after_its_window_never_leaves(start):
+    """Danger: chosen within the window, written past it: its node no longer knows the key."""
+    first, second = Node(serves=False), Node(comes_up=False)
+    told = {"services": KEYED | {"window": 600.0}, "caps": {"connectTimeout": 20_000.0}}
+    program = start(first, second, told=told, listed=(1,))
+    client = program.client(post(id="cab", path="/book", deadline=8000, more=KEY))
+    connection = first.got("cab.0")
+    program.discovery.say(6, program.entry(2))
+    program.turned()
+    leave(connection, "RST")
+    until(lambda: second.called, "a connection in the making")
+    second.accepts.set()  # the system tries again after a second: the window is over
+    status, _ = read_answer(client)
+    until(lambda: not second.called, "the connection of the repeat")
+    assert status == 504  # the first attempt may have run
+    assert program.ended() == [["cab.0"], []]
+
+
+def test_a_list_that_a_reset_cuts_counts_only_when_it_comes_whole(start):
+    old, new = Node(), Node()
+    program = start(old, new, listed=(1,))
+    whole = json.dumps({"version": 6, "full": True, "servers": [program.entry(2)]}).encode()
+    program.discovery.connection.sendall(b"%x\r\n%b" % (len(whole) + 1, whole))  # all but the end of its line
+    program.turned()
+    leave(program.discovery.connection, "RST")
+    program.discovery.watch()
+    assert b"after=5 " in program.discovery.asked
+    served(program, "before")
+    program.discovery.say(6, program.entry(2), full=True)
+    program.turned()
+    served(program, "after")
+    assert program.ended() == [["before.0"], ["after.0"]]
+
+
+def test_a_watch_that_hangs_before_its_first_word_is_opened_anew(start):
+    node = Node()
+    program = start(node)
+    leave(program.discovery.connection, "RST")
+    silent, _ = program.discovery.listening.accept()
+    program.discovery.watch()
+    program.discovery.say(6, program.entry(1, "terminating"))
+    program.turned()
+    status, _ = read_answer(program.client(post(id="late")))
+    assert status == 503 and program.ended() == [[]]
+    silent.close()
+
+
+def test_signals_again_while_leaving_change_nothing_for_what_is_open(start):
+    node = Node(serves=False)
+    program = start(node, told={"services": LONG})
+    client = program.client(post(id="open", path="/book", deadline=8000))
+    connection = node.got("open.0")
+    for number in (signal.SIGTERM, signal.SIGTERM, signal.SIGHUP):
+        program.signal(number)
+        program.turned()
+    program.logged("stopping")
+    connection.sendall(answer("open.0"))
+    assert read_answer(client)[0] == 200
+    assert program.process.wait(30) == 0
+    assert program.said("stopping") == 1
+
+
+@pytest.mark.parametrize("pushed", [True, False], ids=["pushed", "asked"])
+def test_sigterm_before_the_first_list_ends_the_start(start, pushed):
+    program = start(Node(), told={"discovery": "push" if pushed else "ask"}, ready=False)
+    program.logged("started")
+    program.signal(signal.SIGTERM)
+    assert program.process.wait(30) == 0
+
+
+def test_a_request_behind_the_last_answer_of_a_leaving_router_is_answered_or_never_sent(start):
+    node = Node(serves=False)
+    program = start(node, told={"services": {"aim": 2000.0}})  # taking for 0.6 s after SIGTERM
+    client = program.client(post(id="open", deadline=1900))
+    connection = node.got("open.0")
+    program.signal(signal.SIGTERM)
+    program.logged("stopping")
+    time.sleep(0.8)  # from here on each connection closes with its answer
+    program.halt()
+    connection.sendall(answer("open.0"))
+    client.sendall(post(id="behind", deadline=1900))
+    program.go_on()
+    stream = client.makefile("rb")
+    assert b"200" in stream.readline()
+    with contextlib.suppress(OSError):
+        rest = stream.read()
+    assert program.process.wait(30) == 0
+    [ids] = program.ended()
+    assert ("behind.0" in ids) <= (rest.count(b"HTTP/1.1 ") == 1)
