--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
+FLAGS =
 
 .PHONY: demo test lint clean
 
@@ -14,7 +15,7 @@
 	$(BIN)/python -m tansycrank demo
 
 test: $(VENV)/.installed
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest $(FLAGS)
 
 lint: $(VENV)/.installed
 	$(BIN)/ruff check .
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,7 +5,17 @@
 
 sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent)]
 
+import known_red  # noqa: E402
 from hypothesis import settings  # noqa: E402
 
 settings.register_profile("same-every-time", derandomize=True, database=None, deadline=None)
 settings.load_profile("same-every-time")
+
+
+def pytest_addoption(parser):
+    parser.addoption("--known-red", metavar="FILE", help="pass over the tests that this file lists")
+
+
+def pytest_configure(config):
+    if path := config.getoption("--known-red"):
+        known_red.register(config, path)
