The door never tells a time to come back that has gone by

It passes alone at both states; its draws are the same each time for one set of modules. policy.py, _refuse: of a query sent twice at once the second was told its first's time, also where it had waited in line beyond that. Now that place is let go and a new time found. Ruled out: the machine's own clock (it only goes on); `early`, which is asked only of places not due. The test of the policy alone shows a wait of -500 ms without the change.

--- a/tansycrank/door/policy.py
+++ b/tansycrank/door/policy.py
@@ -618,9 +618,11 @@
         due = self.book.slot(now, due, ticket.charge, min(self.drain, 1e9))
         mark = ticket.mark or -ticket.id
         place = tenant.account.places.get(mark, {}).get(ticket.session)
-        if place is not None:  # the same query of the same session, sent twice at once
+        if place is not None and place.due > now:  # the same query of the same session, sent twice at once
             due = place.due
         else:
+            if place is not None:  # danger: its twin waited beyond that time, and was told one gone by
+                self.book.drop(tenant.account, place)
             self.book.keep(tenant.account, tenant.key, mark, ticket.session, now, due, ticket.charge)
         tenant.refused += 1
         tenant.corrected += corrected
--- a/tests/door/test_policy.py
+++ b/tests/door/test_policy.py
@@ -368,3 +368,16 @@
         world.load(0.01, {"a": 500})
     asked = sum(t == "a" for t in world.tenant_of.values())
     assert world.got("a") > 0.9 * asked
+
+
+def test_a_twin_that_waits_beyond_the_time_its_first_was_told_is_told_a_later_one():
+    """Danger: the same query twice; the second waits, and hears the first's time, which has gone by."""
+    policy, number = Policy(Settings()), 0
+    while not policy.waiting:  # until nothing more is let in
+        number += 1
+        policy.step(0.0, [Arrived(number, "b", "c", 0, 9, 900.0, mark=100 + number)])
+    account = policy.tenants["b"].account
+    policy.book.keep(account, "b", 100 + number, 0, 0.0, 400.0, 9.0)  # its first was told 400 ms
+    refused = [one for one in policy.step(900.0, [Tick()]) if isinstance(one, Refuse)]
+    assert [one.id for one in refused] == [number] and refused[0].wait >= 0.0
+    assert policy.book.kept == account.count == sum(map(len, account.places.values()))
