One reader of a call's parts serves both stand-in nodes of the tests

The far end in memory (live.Peer) and the node on sockets (real.Node) each took the lines of a call apart; both use live.parts_of now.

--- a/tests/platform/live.py
+++ b/tests/platform/live.py
@@ -99,6 +99,18 @@
         return written
 
 
+def parts_of(call):
+    """The parts of a call, as a node reads them: (id, shard, ms, text)."""
+    parts = []
+    while call:
+        line, _, call = call.partition(b"\n")
+        id, shard, told, length = line.decode().split()
+        wait = told.partition(",")[0].removeprefix("d=")
+        parts.append((id, int(shard), int(wait), call[: int(length)]))
+        call = call[int(length) :]
+    return parts
+
+
 class Peer:
     """The far end of a connection that the router made."""
 
@@ -125,12 +137,7 @@
             if letter == b"X":
                 self.given_up.append(rest.decode())
                 continue
-            while rest:
-                line, _, rest = rest.partition(b"\n")
-                id, shard, told, length = line.decode().split()
-                wait = told.partition(",")[0].removeprefix("d=")
-                parts.append((id, int(shard), int(wait), rest[: int(length)]))
-                rest = rest[int(length) :]
+            parts += parts_of(rest)
         return parts
 
     def say(self, data):
--- a/tests/platform/real.py
+++ b/tests/platform/real.py
@@ -16,7 +16,7 @@
 import time
 from pathlib import Path
 
-from live import TOLD, answer, config, entry
+from live import TOLD, answer, config, entry, parts_of
 
 ROOT = Path(__file__).parent.parent.parent
 PATIENCE = 30  # s until a peer that waits for something fails; nothing asserts how long it took
@@ -91,13 +91,10 @@
         if letter == b"X":
             self.given_up.append(rest.decode())
             return
-        while rest:
-            line, _, rest = rest.partition(b"\n")
-            id, _, _, length = line.decode().split()
+        for id, _, _, text in parts_of(rest):
             self.parts.append((connection, id))
             if self.serves:
-                connection.sendall(answer(id, value=rest[: int(length)].decode()[:16]))
-            rest = rest[int(length) :]
+                connection.sendall(answer(id, value=text.decode()[:16]))
 
     @property
     def ids(self):
