--- a/tests/platform/real.py
+++ b/tests/platform/real.py
@@ -144,7 +144,9 @@
 class Program:
     """One router as a process, its nodes listed under 1, 2, ... `told` replaces settings, by group."""
 
-    def __init__(self, folder, nodes, told=None, listed=None, cells=None, limits=None, ready=True):
+    def __init__(
+        self, folder, nodes, told=None, listed=None, cells=None, limits=None, ready=True, environment=None
+    ):
         self.nodes, self.discovery, self.cells = nodes, Discovery(), cells
         free = socket.create_server(("127.0.0.1", 0))
         self.port = free.getsockname()[1]
@@ -165,7 +167,7 @@
             listen=f"127.0.0.1:{self.port}", discovery=f"127.0.0.1:{self.discovery.port}", known=known,
             settings=settings, **({"limits": limits} if limits else {}),
         ))
-        environ = os.environ | {"NODE_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
+        environ = os.environ | {"NODE_CONFIG": str(path), "PYTHONPATH": str(ROOT)} | (environment or {})
         self.process = subprocess.Popen(
             [sys.executable, "-m", "tansycrank", "run"], cwd=folder, env=environ, stderr=subprocess.PIPE
         )
