Spans of time rest on the monotonic clock; starts of nodes are dated without the wall clock

Cause: Twisted's stock reactor counts on the wall clock, and the step loop kept the largest value it had seen. After a step back no timer and nothing on the policy's agenda came due; answers seemed to take 0 ms, and the policy divided by their median (brain.py:347) once a cold node was listed. Change: clock.py holds the one reactor (its seconds are time.monotonic) for both routers and the lab; start_times.py turns told starts into instants of that clock from what the router saw itself, for platform and SQL roster alike; a restart is a changed start; answers that took no time teach nothing; the lab's checkers and key claims are monotonic.

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -135,14 +135,16 @@
                 server.status = Status.GONE
         for entry in event.entries:
             server = self.servers.get(entry.server)
-            if server is None or entry.came_up > server.came_up:  # new or restarted: the old record is void
+            if server is None or entry.life > server.life:  # new or restarted: the old record is void
                 span = max(self.cfg.cold_window, self.cfg.cold_time) + self.cfg.tick
                 new = Server(entry.server, entry.cell, entry.zone, entry.status, entry.came_up,
                              max(WINDOW_ALL / self.cfg.routers, WINDOW_LEAST), LatencyWindow(*WINDOW),
-                             SlidingSum(span))
+                             SlidingSum(span), entry.life)
                 if server:  # rule 4
                     new.sends, new.lot, new.lot_until = server.sends, server.lot, server.lot_until
                 self.servers[entry.server] = server = new
+            elif entry.life == server.life:  # the same start may be known better by now
+                server.came_up = entry.came_up
             server.status, server.cell, server.zone = entry.status, entry.cell, entry.zone
         for server in [s for s in self.servers.values() if s.status is Status.GONE and not s.out]:
             if not server.sends.within(self.now, self.cfg.cold_window):  # rule 4: till then it is the same
@@ -565,7 +567,8 @@
     def _learn(self, attempt: Attempt, took: float) -> None:
         server = attempt.server
         self.last_answer = server.last_answer = self.now
-        if self.stalled:
+        # Danger: a clock that stands still makes 0 the quickest answer ever, and the pace of cold servers.
+        if self.stalled or took <= 0:
             return
         self.lateness += ((took > self.target) - self.lateness) / ENOUGH
         server.sketch.add(self.now, took)
--- /dev/null
+++ b/tansycrank/clock.py
@@ -0,0 +1,60 @@
+"""The clocks of a process.
+
+Every span of time (deadlines, time-outs, windows, back-offs, ages) is measured on the system's monotonic
+clock. Twisted's stock reactor counts on the wall clock, which administrators and time services step: after
+a step back none of its timers comes due until the wall clock has caught up.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+
+from twisted.internet import epollreactor
+from twisted.internet.main import installReactor
+
+STEP_TOLERANCE = 0.2  # s: a smaller change against the monotonic clock is slewing, not a step
+
+
+class MonotonicReactor(epollreactor.EPollReactor):
+    """The epoll reactor, with its own time and all its delayed calls on the monotonic clock."""
+
+    seconds = staticmethod(time.monotonic)
+
+
+def install_reactor() -> MonotonicReactor:
+    """Install the process's reactor, once, and return it. Raises RuntimeError if another stands already."""
+    if "twisted.internet.reactor" not in sys.modules:
+        installReactor(MonotonicReactor())
+    from twisted.internet import reactor
+
+    if not isinstance(reactor, MonotonicReactor):
+        raise RuntimeError(f"{type(reactor).__name__} is installed already; its timers follow the wall clock")
+    return reactor
+
+
+def monotonic_ms() -> float:
+    """Milliseconds of the monotonic clock, which all processes of one machine share."""
+    return time.monotonic() * 1000
+
+
+def unix_ms() -> float:
+    """Milliseconds since 1970 by the wall clock. For what is shown or told; no span is measured by it."""
+    return time.time() * 1000
+
+
+class WallClockMonitor:
+    """Notices that the wall clock was stepped, for the log. Nothing is decided by it."""
+
+    def __init__(self) -> None:
+        self._difference = self._measure()
+
+    def step(self) -> float:
+        """Seconds by which the wall clock was stepped since the last call; 0 if it was not."""
+        before, self._difference = self._difference, self._measure()
+        moved = self._difference - before
+        return moved if abs(moved) >= STEP_TOLERANCE else 0.0
+
+    @staticmethod
+    def _measure() -> float:
+        return time.time() - time.monotonic()
--- a/tansycrank/daemon.py
+++ b/tansycrank/daemon.py
@@ -12,6 +12,7 @@
 import structlog
 from twisted.internet.error import CannotListenError
 
+from tansycrank import clock
 from tansycrank.config import Config
 from tansycrank.merge.blocks import Keeper
 from tansycrank.merge.spill import SpillSpace
@@ -157,8 +158,7 @@
 
 def run(config: Config, announce: bool = False) -> int:
     """Run one router until SIGTERM or SIGINT; `announce` prints its port as JSON. Returns the exit code."""
-    from twisted.internet import reactor
-
+    reactor = clock.install_reactor()
     daemon = Daemon(reactor, config, make_log(config.log))
     daemon.on_stopped = lambda: reactor.running and reactor.stop()
     try:
--- a/tansycrank/interface.py
+++ b/tansycrank/interface.py
@@ -183,7 +183,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Listed:
-    """One server as discovery names it; `came_up` is 0 for long ago."""
+    """One server as discovery names it; `came_up` is 0 for long ago.
+
+    `incarnation` grows with each restart of the server; where none is given, `came_up` stands for it.
+    """
 
     server: int
     cell: int
@@ -191,6 +194,12 @@
     status: Status
     came_up: float = 0.0
     size_hint: float = 1.0
+    incarnation: float | None = None
+
+    @property
+    def life(self) -> float:
+        """Which of the server's lives this is."""
+        return self.came_up if self.incarnation is None else self.incarnation
 
 
 # --- events -----------------------------------------------------------------
--- a/tansycrank/lab/load.py
+++ b/tansycrank/lab/load.py
@@ -10,13 +10,12 @@
 import random
 import re
 import sys
-import time
 from dataclasses import dataclass
 
 import msgspec
 import psycopg
 
-from tansycrank import config
+from tansycrank import clock, config
 from tansycrank.lab.engine import DISTRICTS, Engine
 
 WRITE_IDS = 1_000_000_000  # ids of rows that loads write; readers look below
@@ -104,7 +103,7 @@
 
 def now() -> float:
     """Milliseconds, the same clock as the nodes'."""
-    return time.time() * 1000
+    return clock.monotonic_ms()
 
 
 class Client:
--- a/tansycrank/lab/process.py
+++ b/tansycrank/lab/process.py
@@ -7,9 +7,12 @@
 from collections.abc import Callable
 
 import msgspec
-from twisted.internet import reactor
 from twisted.internet.protocol import Factory, Protocol
 
+from tansycrank.clock import install_reactor
+
+reactor = install_reactor()
+
 
 class Front(Factory):
     """Makes a protocol for each connection."""
--- a/tansycrank/lab/roster.py
+++ b/tansycrank/lab/roster.py
@@ -9,10 +9,9 @@
 import sys
 
 import msgspec
-from twisted.internet import reactor
 from twisted.protocols.basic import LineOnlyReceiver
 
-from tansycrank.lab.process import listen, serve
+from tansycrank.lab.process import listen, reactor, serve
 from tansycrank.roster.view import FeedLine, NodeLine
 
 BEAT = 1.0  # seconds
--- a/tansycrank/lab/site.py
+++ b/tansycrank/lab/site.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from tansycrank import clock
 from tansycrank.lab import engine
 
 SETTINGS = """\
@@ -182,7 +183,8 @@
     process: subprocess.Popen | None = None
     port: int = 0
     control: int = 0
-    started: float = 0.0
+    started: float = 0.0  # ms of Unix time, as the roster tells it; 0 for long ago
+    came_up: float = 0.0  # the same instant in ms of the monotonic clock
 
 
 class Site:
@@ -260,7 +262,7 @@
             "port": node.port,
             "control": node.control,
             "journal": str(self.folder / f"node-{node.id}.jsonl"),
-            "came_up": node.started,
+            "came_up": node.came_up,
             "scale": layout.scale,
             "dedup_ms": layout.dedup_ms,
             "peers": peers,
@@ -353,7 +355,7 @@
     def revive(self, node: int, told_after_ms: float = 0.0) -> None:
         """It comes back cold, on its old ports; the roster tells so later."""
         one = self.nodes[node]
-        one.started = time.time() * 1000
+        one.started, one.came_up = clock.unix_ms(), clock.monotonic_ms()
         self._launch(one)
         self._ports(one)
         for peer in self.nodes.values():  # what was written while it was away
@@ -369,7 +371,7 @@
         for node in ids:
             if self.nodes[node].process.poll() is not None:
                 self.revive(node)
-                self.nodes[node].started = 0.0
+                self.nodes[node].started = self.nodes[node].came_up = 0.0
             self.tell(node, "ready")
 
     def tell(self, node: int, status: str, delay_ms: float = 0.0, **changes) -> None:
--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -15,6 +15,7 @@
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
+from tansycrank import clock
 from tansycrank import interface as io
 from tansycrank.platform import settings as configuration
 from tansycrank.platform.coordinator import Coordinator
@@ -53,7 +54,8 @@
             settings.max_links, log, settings.module.drain_grace,
         )
         self.discovery = Discovery(
-            reactor, *settings.discovery, lambda: self.names.version, self.heard, self.failed
+            reactor, *settings.discovery, lambda: self.names.version, self.heard,
+            lambda: self.names.unchanged(self.coordinator.loop.now), self.failed,
         )
         self.coordinator = Coordinator(
             reactor, settings.module, settings.seed, self.pools, log, self.discovery.set_watch,
@@ -66,6 +68,7 @@
         self._heard = False  # whether there is a list, or no more waiting for one
         self._again = None  # the timer of an address that is tried again
         self._stood = False  # whether this process had stood still before the last look
+        self._wall_clock = clock.WallClockMonitor()
         self._calls = [LoopingCall(self._sweep), LoopingCall(self._tell)]
         for call in self._calls:
             call.clock = reactor
@@ -222,6 +225,8 @@
     def _sweep(self) -> None:
         now = self.reactor.seconds()
         late, self._swept = now - self._swept - SWEEP, now
+        if step := self._wall_clock.step():
+            log("wall clock stepped", seconds=round(step, 3))
         try:
             if late > LATE:
                 log("late loop turn", ms=round(late * 1000, 1))
@@ -255,11 +260,7 @@
     except ConfigError as problem:
         print(f"run: {problem}", file=sys.stderr)
         return 2
-    from twisted.internet import epollreactor
-
-    epollreactor.install()
-    from twisted.internet import reactor
-
+    reactor = clock.install_reactor()
     daemon = Daemon(reactor, settings, os.environ)
 
     def on_signal(number: int, act) -> None:
--- a/tansycrank/platform/discovery.py
+++ b/tansycrank/platform/discovery.py
@@ -57,11 +57,15 @@
 
 
 class Call(Protocol):
-    """One GET. `on_line` hears each object, `on_end` hears once that it is over, and whether it was well."""
+    """One GET. `on_line` hears each object, `on_beat` each empty line of a watch: nothing has changed;
+    `on_end` hears once that it is over, and whether it was well.
+    """
 
-    def __init__(self, request: bytes, watch: bool, reactor, on_line: Callable, on_end: Callable) -> None:
+    def __init__(
+        self, request: bytes, watch: bool, reactor, on_line: Callable, on_beat: Callable, on_end: Callable
+    ) -> None:
         self.request, self.watch, self.reactor = request, watch, reactor
-        self.on_line, self.on_end = on_line, on_end
+        self.on_line, self.on_beat, self.on_end = on_line, on_beat, on_end
         self.parser = httptools.HttpResponseParser(self)
         self.buffer = bytearray()
         self.objects = Objects()
@@ -115,6 +119,8 @@
         else:
             if listing is not None:
                 self.on_line(listing)
+            elif not line.strip():
+                self.on_beat()
 
     def connectionLost(self, reason=connectionDone) -> None:  # noqa: N802
         if not self.framed and reason.check(ConnectionDone):  # an answer without a length ends so
@@ -134,16 +140,16 @@
 
 
 class Discovery:
-    """The watch that the module asked for; `heard` gets each listing,
-    `failed` that a call or the watch has ended without being asked to.
+    """The watch that the module asked for; `heard` gets each listing, `unchanged` each word that nothing
+    changed, `failed` that a call or the watch has ended without being asked to.
     """
 
     def __init__(
         self, reactor, host: str, port: int, version: Callable[[], int],
-        heard: Callable[[Listing], None], failed: Callable[[], None],
+        heard: Callable[[Listing], None], unchanged: Callable[[], None], failed: Callable[[], None],
     ) -> None:
         self.reactor, self.host, self.port = reactor, host, port
-        self.version, self.heard, self.failed = version, heard, failed
+        self.version, self.heard, self.unchanged, self.failed = version, heard, unchanged, failed
         self.calls: set[Call] = set()
         self.watch: Call | None = None
         self.wanted = False  # a watch, whether or not one is open now
@@ -189,6 +195,10 @@
                 self.calls.discard(call)  # it has brought its list: another may be asked for
                 self.heard(listing)
 
+        def beat() -> None:
+            if call is self.watch:
+                self.unchanged()
+
         def ended(good: bool) -> None:
             was = call is self.watch or call in self.calls
             self.calls.discard(call)
@@ -197,7 +207,7 @@
             if was and not good:
                 self.failed()
 
-        call = Call(request.encode(), watch, self.reactor, line, ended)
+        call = Call(request.encode(), watch, self.reactor, line, beat, ended)
         factory = OneConnection(call, call.connectionLost)
         call.connector = self.reactor.connectTCP(self.host, self.port, factory, timeout=CALL_WITHIN)
         return call
--- a/tansycrank/platform/names.py
+++ b/tansycrank/platform/names.py
@@ -4,6 +4,7 @@
 
 from tansycrank import interface as io
 from tansycrank.platform.settings import Entry, Listing
+from tansycrank.start_times import FIRST, LONG_AGO, Start, StartTimes
 
 STATES = {
     "in_service": io.Status.READY,
@@ -11,6 +12,7 @@
     "terminated": io.Status.GONE,
 }
 UNKNOWN = io.Status.DRAINING  # a state that the protocol does not name: it may not want anything new
+NO_START = Start(LONG_AGO, FIRST)  # of a node that is gone: it gets nothing
 FORGET = 60_000.0  # ms a node that is gone keeps its number, so that one that comes back is the same
 
 
@@ -22,11 +24,16 @@
         self._numbers: dict[str, int] = {}
         self._gone: dict[str, float] = {}  # when it went, ms
         self._last = 0
+        self._starts = StartTimes()
         self.version = -1
 
     def __len__(self) -> int:
         return len(self._numbers)
 
+    def unchanged(self, now: float) -> None:
+        """Discovery says on its watch that nothing changed; `now` is ms of the reactor's clock."""
+        self._starts.heard(now)
+
     def oddities(self, listing: Listing) -> dict[str, str]:
         """What a listing holds that the protocol does not foresee: how often, and an example each."""
         seen: set[str] = set()
@@ -45,6 +52,8 @@
         if kind is not io.ListKind.CHANGES:
             standing = {entry.id for entry in entries}
             entries += [Entry(id, "terminated") for id in self._numbers if id not in standing]
+        started = {entry.id: entry.started_ms for entry in entries if entry.state != "terminated"}
+        starts = self._starts.listed(started, now, cached=kind is io.ListKind.CACHED)
         places = {}
         listed = []
         for entry in entries:
@@ -62,8 +71,13 @@
                 self._gone.pop(entry.id, None)
                 places[number] = entry.addr
             zone = self._zones.get(entry.zone, len(self._zones))
-            listed.append(io.Listed(number, entry.cell, zone, status, entry.started_ms, entry.weight))
-        for id in [id for id, went in self._gone.items() if now - went >= FORGET]:
+            start = starts.get(entry.id, NO_START)
+            listed.append(
+                io.Listed(number, entry.cell, zone, status, start.at, entry.weight, start.incarnation)
+            )
+        forgotten = [id for id, went in self._gone.items() if now - went >= FORGET]
+        for id in forgotten:
             del self._gone[id], self._numbers[id]
+        self._starts.forget(forgotten)
         self.version = listing.version
         return io.ServerList(kind, tuple(listed)), places
--- a/tansycrank/roster/feed.py
+++ b/tansycrank/roster/feed.py
@@ -162,7 +162,7 @@
             return
         self._stamp, self._version = stamp, self._version + 1
         line = view.FeedLine("full", self._version, 1, nodes)
-        for action in self.view.step(0.0, [view.Heard(line)]):
+        for action in self.view.step(self.reactor.seconds() * 1000, [view.Heard(line)]):
             self.carry_out(action)
 
 
--- a/tansycrank/roster/view.py
+++ b/tansycrank/roster/view.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from tansycrank import interface as io
+from tansycrank.start_times import Start, StartTimes
 
 SILENT_ASKS = 2  # beats of the silence bound: at half of it the feed is asked, at the whole it is given up
 
@@ -134,6 +135,7 @@
         self.nodes: dict[int, NodeLine] = {}
         self.version, self.epoch = -1, None
         self._state = "off"  # off, connecting, on
+        self._starts = StartTimes()
         self._heard_at = 0.0
         self._whole_wanted = False  # a gap was seen: changes are not believed until a whole list came
         self._asked = False
@@ -156,7 +158,7 @@
                     self._want_whole(actions)
                 case Heard(line):
                     self._heard_at = now
-                    self._hear(line, actions)
+                    self._hear(now, line, actions)
                 case Tick():
                     self._ticking = False
         if self._state == "on":
@@ -197,7 +199,7 @@
             self._whole_wanted = True
             actions.append(Say("list"))
 
-    def _hear(self, line: FeedLine, actions: list) -> None:
+    def _hear(self, now: float, line: FeedLine, actions: list) -> None:
         self._asked = False
         same = line.epoch == self.epoch
         if line.kind == "full":
@@ -209,7 +211,8 @@
             self.nodes, self.version, self.epoch, self._whole_wanted = nodes, line.version, line.epoch, False
             actions += [Place(n.id, n.host, n.port) for n in nodes.values()]
             actions += [Forget(i) for i in gone]
-            actions.append(Tell(io.ServerList(io.ListKind.FULL, tuple(map(self._listed, nodes.values())))))
+            self._starts.forget(gone)
+            actions.append(Tell(self._list(io.ListKind.FULL, nodes.values(), now)))
         elif line.kind == "changes":
             if not same or line.version > self.version + 1:
                 self._want_whole(actions)
@@ -226,29 +229,35 @@
                     self.nodes[node.id] = node
                     actions.append(Place(node.id, node.host, node.port))
             # told even over a gap: a drain must be heard at once, whatever was missed before
-            actions.append(Tell(io.ServerList(io.ListKind.CHANGES, tuple(map(self._listed, changed)))))
+            actions.append(Tell(self._list(io.ListKind.CHANGES, changed, now)))
+            self._starts.forget(node.id for node in changed if node.status == "gone")
         elif line.kind == "beat":
             if same and line.version > self.version or not same:
                 self._want_whole(actions)
+            else:
+                self._starts.heard(now)
         else:
             actions.append(Odd(f"unknown kind of line {line.kind!r}"))
 
     def _believed(self, nodes: tuple[NodeLine, ...], actions: list) -> list[NodeLine]:
         good = []
         for node in nodes[: self._most]:
-            known = self.nodes.get(node.id)
             if node.status not in ("ready", "draining", "gone"):
                 actions.append(Odd(f"node {node.id}: unknown status {node.status!r}"))
             elif not (0 <= node.cell < self._cells and 0 < node.port < 65536 and 0 <= node.id < 2**32):
                 actions.append(Odd(f"node {node.id}: cell {node.cell}, port {node.port} out of range"))
-            elif known is not None and node.started < known.started and node.status == "ready":
-                actions.append(Odd(f"node {node.id}: told to have started before its last start"))
             else:
                 good.append(node)
         if len(nodes) > self._most:
             actions.append(Odd(f"{len(nodes)} nodes told; the bound is {self._most}"))
         return good
 
-    def _listed(self, node: NodeLine) -> io.Listed:
+    def _list(self, kind: io.ListKind, nodes: Iterable[NodeLine], now: float) -> io.ServerList:
+        nodes = list(nodes)
+        starts = self._starts.listed({node.id: node.started for node in nodes}, now)
+        return io.ServerList(kind, tuple(self._listed(node, starts[node.id]) for node in nodes))
+
+    def _listed(self, node: NodeLine, start: Start) -> io.Listed:
         zone = self._zones.index(node.zone) if node.zone in self._zones else len(self._zones)
-        return io.Listed(node.id, node.cell, zone, io.Status(node.status), node.started)
+        status = io.Status(node.status)
+        return io.Listed(node.id, node.cell, zone, status, start.at, incarnation=start.incarnation)
--- a/tansycrank/router/steps.py
+++ b/tansycrank/router/steps.py
@@ -12,7 +12,7 @@
 
 
 class StepLoop:
-    """Times are milliseconds of the reactor's clock, which is the clock of the nodes' start times too."""
+    """Times are milliseconds of the reactor's clock, which is monotonic."""
 
     def __init__(
         self,
@@ -30,7 +30,6 @@
         self.reactor, self.on_broken, self.after = reactor, on_broken, after
         self.router = Router(settings, seed)
         self.steps = 0
-        self._now = float("-inf")
         self.latest = 0.0  # ms: the most that a wake-up came too late since this was last read
         self._acts = {**acts, io.Wake: self._set_wake}
         self._events: list[io.Event] = []
@@ -38,9 +37,8 @@
 
     @property
     def now(self) -> float:
-        """Milliseconds of the reactor's clock, never less than before: the system's may be set back."""
-        self._now = max(self._now, self.reactor.seconds() * 1000)
-        return self._now
+        """Milliseconds of the reactor's clock."""
+        return self.reactor.seconds() * 1000
 
     def hear(self, *events: io.Event) -> None:
         """Something happened: the next reactor turn takes a step."""
--- a/tansycrank/state.py
+++ b/tansycrank/state.py
@@ -89,6 +89,7 @@
     window: float
     sketch: LatencyWindow
     sends: SlidingSum
+    life: float  # which of its lives this record is of
     out: int = 0
     overdue: int = 0
     last_cut: float = 0.0
