One component decides what may be sent, repeated, answered or closed, and counts violations

Change: lifecycle.py holds the states of requests, attempts, endpoints and process; both routers ask it at the moment bytes leave, an answer goes out or a connection closes. Refusals are counted by reason, violations logged with request and history, all in the state and stopped lines; closes of clients' connections by reason.

--- a/tansycrank/daemon.py
+++ b/tansycrank/daemon.py
@@ -14,6 +14,7 @@
 
 from tansycrank import clock
 from tansycrank.config import Config
+from tansycrank.lifecycle import Violation
 from tansycrank.merge.blocks import Keeper
 from tansycrank.merge.spill import SpillSpace
 from tansycrank.pg.errors import SHUTTING_DOWN, PgError
@@ -75,6 +76,7 @@
             self._watch,
             self._broken,
         )
+        self.coordinator.on_violation = self._violated
         kind = RosterFeed if config.roster.feed else RosterFile
         self.roster = kind(reactor, config, self.pools, self.coordinator.heard_list, log)
         self.service = Service(config, self.coordinator, log)
@@ -113,6 +115,16 @@
             )
         self.stop_now()
 
+    def _violated(self, violation: Violation) -> None:
+        if self.log:
+            self.log.error(
+                "invariant violated",
+                invariant=violation.invariant.value,
+                detail=violation.detail,
+                request=violation.request,
+                history=violation.history,
+            )
+
     def stop(self) -> None:
         """Take nothing new, finish what is in flight within `stop_within_ms`, then leave."""
         if self.front.stopping:
@@ -141,6 +153,7 @@
             self.coordinator.abandon(job, PgError(SHUTTING_DOWN, "the router is shutting down"))
         for session in list(self.front.sessions):
             session.shut()
+        self.coordinator.lifecycle.stop(self.coordinator.now)
         self.coordinator.stop()
         self.roster.stop()
         if self._sweep is not None and self._sweep.active():
@@ -152,7 +165,8 @@
         for session in list(self.front.sessions):
             session.transport.abortConnection()
         if self.log:
-            self.log.info("stopped", **self.coordinator.counts)
+            lifecycle = self.coordinator.lifecycle
+            self.log.info("stopped", **self.coordinator.counts, **lifecycle.figures())
         self.on_stopped()
 
 
--- a/tansycrank/lab/sabotage.py
+++ b/tansycrank/lab/sabotage.py
@@ -17,6 +17,13 @@
 from tansycrank.router import coordinator, service
 
 
+class _Unchecked:
+    """An attempt that starts whatever the rules say."""
+
+    def start(self, now: float) -> None:
+        """It may."""
+
+
 class _Extra(coordinator.Coordinator):
     """Sends that the module never asked for."""
 
@@ -24,15 +31,15 @@
         """One of them; its rows are dropped."""
         memory = self.keeper.open(False)
         stream = PartStream(memory, request.shard)
-        self.pools.send(server, request, stream, time_out, lambda ended: memory.close())
+        self.pools.send(server, request, stream, time_out, lambda ended: memory.close(), _Unchecked())
 
 
 class SendsAfterTheEnd(_Extra):
     """Rule 1: a part goes out again most of a second after its query's final answer."""
 
-    def _end(self, job, answer) -> None:
+    def _forget(self, job, answer) -> None:
         parts = list(job.parts)
-        super()._end(job, answer)
+        super()._forget(job, answer)
         for part in parts[:1]:
             if part.attempts:
                 self.reactor.callLater(0.8, self.extra, part.attempts[0].server, part.request, 500.0)
--- a/tansycrank/lab/simulated.py
+++ b/tansycrank/lab/simulated.py
@@ -16,6 +16,7 @@
 from tansycrank import interface as io
 from tansycrank.door.gate import Gate
 from tansycrank.door.policy import Policy
+from tansycrank.lifecycle import Attempt
 from tansycrank.merge.blocks import Keeper
 from tansycrank.merge.spill import SpillSpace
 from tansycrank.router.coordinator import Coordinator
@@ -155,9 +156,14 @@
         self.clock, self.nodes, self.later = clock, nodes, None
 
     def send(
-        self, server: int, request: PartRequest, stream, time_out: float, done: Callable[[Ended], None]
+        self, server: int, request: PartRequest, stream, time_out: float, done: Callable[[Ended], None],
+        attempt: Attempt,
     ) -> SimSending:
         """As `Pools.send`."""
+        if attempt.start(self.clock.seconds() * 1000) is not None:
+            sending = SimSending(server, stream, done, 0.0)
+            self.clock.callLater(0, sending.finish, Ended(io.Outcome.NOT_SENT))
+            return sending
         sending = SimSending(server, stream, done, float(request.sql))
         if time_out > 0:
             sending.timer = self.clock.callLater(time_out / 1000, sending.finish, Ended(io.Outcome.TIMED_OUT))
--- a/tansycrank/platform/coordinator.py
+++ b/tansycrank/platform/coordinator.py
@@ -10,6 +10,7 @@
 from functools import partial
 
 from tansycrank import interface as io
+from tansycrank.lifecycle import Answer, Lifecycle, NotAllowed, Request, Violation
 from tansycrank.platform import request as codec
 from tansycrank.platform.links import Pools, Sending
 from tansycrank.platform.request import QueryRequest, Refused
@@ -26,14 +27,8 @@
     name: bytes
     shard: int
     attempts: list[Sending] = field(default_factory=list)
-    ran: bool = False  # whether an attempt ended that may have run
     value: str | None = None
 
-    @property
-    def may_have_run(self) -> bool:
-        """Whether nothing proves that none of its attempts did."""
-        return self.ran or any(sending.out and not sending.ended for sending in self.attempts)
-
 
 @dataclass(slots=True, eq=False)
 class Query:
@@ -42,8 +37,13 @@
     id: int
     request: QueryRequest
     reply: Reply
+    life: Request
     parts: list[Part] = field(default_factory=list)
-    ended: bool = False
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing is owed to its client any more."""
+        return not self.life.open
 
 
 class Coordinator:
@@ -54,6 +54,7 @@
         on_watch: Callable[[bool], None], on_fetch: Callable[[], None],
     ) -> None:
         self.settings, self.pools, self.log = settings, pools, log
+        self.lifecycle = Lifecycle(settings, self._violated)
         self.queries: dict[bytes, Query] = {}  # by the client's id
         self._by_number: dict[int, Query] = {}
         self._parts: dict[int, tuple[Query, Part]] = {}
@@ -99,7 +100,11 @@
         if time_left <= 0:
             raise Refused(503, "no time is left to answer it")
         self._ids += 1
-        query = Query(self._ids, request, reply)
+        now = self.loop.now
+        life = self.lifecycle.take(
+            request.id.decode(), cls.effect, cls.dedup_window, now + time_left, len(request.parts), now
+        )
+        query = Query(self._ids, request, reply, life)
         events: list[io.Event] = [io.QueryArrived(
             query.id, query.id, request.query_class, time_left, len(request.parts), request.key,
             request.repeat,
@@ -120,13 +125,13 @@
         """The client has left."""
         if not query.ended:
             self.counts["left"] += 1
+            self.lifecycle.abandon(query.life, self.loop.now)
             self._end(query)
             self.loop.hear(io.QueryGone(query.id))
 
     def give_back(self, query: Query) -> None:
         """Answer a query that the module does not end: refused where no attempt may have run, else failed."""
-        effect = self.settings.classes[query.request.query_class].effect
-        if effect is io.Effect.SAFE or not any(part.may_have_run for part in query.parts):
+        if query.life.effect is io.Effect.SAFE or not query.life.may_have_run:
             hold_off = self.settings.hold_off_max if self.settings.can_hold_off else 0.0
             self._shed(io.Shed(query.id, hold_off))
         else:
@@ -151,10 +156,7 @@
             query, part = self._parts.get(getattr(action, "part", 0), (None, None))
             query = query or self._by_number.get(getattr(action, "query", 0))
             if isinstance(action, io.Send):  # the module waits for its end
-                number = len(part.attempts) if part else 0
-                self.loop.hear(io.AttemptEnded(
-                    action.part, number, action.server, io.Outcome.NOT_SENT, 0.0, False, ()
-                ))
+                self._never_sent(action, part)
             if query is not None and not query.ended:
                 self.give_back(query)
 
@@ -164,10 +166,18 @@
         query, part = self._parts[action.part]
         number, began = len(part.attempts), self.loop.now
         self.counts["sends"] += 1
+        try:
+            attempt = self.lifecycle.choose(
+                query.life, part.shard, action.server, action.time_out, action.leave_within, began
+            )
+        except NotAllowed as refused:
+            self.log("a send is not allowed", request=query.life.name, reason=refused.reason.value)
+            self._never_sent(action, part)
+            return
 
         def ended(outcome: io.Outcome, value: str, load: tuple[float, ...]) -> None:
             self.outcomes[outcome.value] += 1
-            part.ran = part.ran or not outcome.never_ran
+            attempt.end(outcome, self.loop.now)
             if outcome is io.Outcome.ANSWERED and part.value is None:
                 part.value = value
                 self._withdraw(part)
@@ -179,10 +189,21 @@
                 self._forget(part)
 
         part.attempts.append(self.pools.send(
-            part.name, action.server, part.shard, query.request.text, action.time_out, ended,
+            part.name, action.server, part.shard, query.request.text, action.time_out, ended, attempt,
             action.connect_within, query.request.once, action.leave_within,
         ))
 
+    def _never_sent(self, action: io.Send, part: Part | None) -> None:
+        """End a send that never was one; the policy counts it among the attempts of its part."""
+        number = 0
+        if part is not None:
+            number = len(part.attempts)
+            part.attempts.append(Sending.never(part.name, part.shard))
+        self.outcomes[io.Outcome.NOT_SENT.value] += 1
+        self.loop.hear(io.AttemptEnded(
+            action.part, number, action.server, io.Outcome.NOT_SENT, 0.0, False, ()
+        ))
+
     def _cancel(self, action: io.Cancel) -> None:
         if action.part in self._parts:
             self.counts["cancels"] += 1
@@ -192,32 +213,49 @@
         query = self._by_number.get(action.query)
         if query is None:
             return
-        values = [(part.shard, part.value) for part in query.parts if part.value is not None]
-        if action.whole and len(values) < len(query.parts) and \
-                self.settings.classes[query.request.query_class].whole_at >= 1:
-            self._fail(io.Fail(action.query))  # rule 5: never called whole without every value
-            return
-        self.counts["answered"] += 1
-        self._end(query)
-        query.reply(200, codec.hits(action.whole, values), ())
+        needs_all = action.whole and self.settings.classes[query.request.query_class].whole_at >= 1
+        missing = sum(part.value is None for part in query.parts) if needs_all else 0
+        self._conclude(query, Answer.WHOLE if action.whole else Answer.PARTIAL, missing=missing)
 
     def _shed(self, action: io.Shed) -> None:
         if query := self._by_number.get(action.query):
-            self.counts["refused"] += 1
-            self._reply(query, 503, "not answerable in time now; asking again is harmless",
-                        codec.wait(action.hold_off))
+            self._conclude(query, Answer.REFUSED, hold_off=action.hold_off)
 
     def _fail(self, action: io.Fail) -> None:
         if query := self._by_number.get(action.query):
-            self.counts["failed"] += 1
-            self._reply(query, 504, "given up: it may or may not have taken effect")
+            self._conclude(query, Answer.FAILED)
 
-    def _reply(self, query: Query, status: int, words: str, more: tuple[bytes, ...] = ()) -> None:
+    def _conclude(self, query: Query, kind: Answer, missing: int = 0, hold_off: float = 0.0) -> None:
+        """The one final answer of a query, as far as its life allows it."""
+        allowed = self.lifecycle.answer(query.life, kind, self.loop.now, missing)
+        if allowed is None:
+            return
         self._end(query)
-        query.reply(status, codec.words(words), more)
+        if allowed is Answer.REFUSED:
+            self.counts["refused"] += 1
+            refusal = codec.words("not answerable in time now; asking again is harmless")
+            query.reply(503, refusal, codec.wait(hold_off))
+        elif allowed is Answer.FAILED:
+            self.counts["failed"] += 1
+            query.reply(504, codec.words("given up: it may or may not have taken effect"), ())
+        else:
+            self.counts["answered"] += 1
+            values = [(part.shard, part.value) for part in query.parts if part.value is not None]
+            query.reply(200, codec.hits(allowed is Answer.WHOLE, values), ())
+
+    def heard_list(self, event: io.ServerList) -> None:
+        """Service discovery spoke: nothing starts any more at an endpoint that is not in service."""
+        self.lifecycle.listed(event)
+        for entry in event.entries:
+            if entry.status is io.Status.DRAINING:
+                self.pools.hold_back(entry.server)
+        self.loop.hear(event)
+
+    def _violated(self, violation: Violation) -> None:
+        self.log("invariant violated", invariant=violation.invariant.value, detail=violation.detail,
+                 request=violation.request, history=violation.history)
 
     def _end(self, query: Query) -> None:
-        query.ended = True
         del self.queries[query.request.id], self._by_number[query.id]
         self.held -= 1 + len(query.parts)
         for part in query.parts:
--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -154,12 +154,9 @@
                     self.pools.forget(server)
             except ConfigError as problem:
                 unusable.append(str(problem))
-        for one in event.entries:
-            if one.status is io.Status.DRAINING:
-                self.pools.hold_back(one.server)
         if unusable:
             log("nodes without a usable address", nodes=len(unusable), problem=unusable[0])
-        self.coordinator.loop.hear(event)
+        self.coordinator.heard_list(event)
 
     # --- signals ----------------------------------------------------------------------
 
@@ -214,7 +211,9 @@
     def _stop(self) -> None:
         if not self.stopped:
             self.stopped = True
-            log("stopped", **self.coordinator.counts)
+            lifecycle = self.coordinator.lifecycle
+            lifecycle.stop(self.coordinator.loop.now)
+            log("stopped", **self.coordinator.counts, **lifecycle.figures())
             self.coordinator.loop.stop()
             self.discovery.stop()
             self.pools.close()
@@ -243,6 +242,7 @@
         loop = self.coordinator.loop
         log(
             "state", **self.coordinator.counts, **self.front.counts, outcomes=self.coordinator.outcomes,
+            **self.coordinator.lifecycle.figures(), closed=self.front.closed,
             open=len(self.coordinator.queries), clients=len(self.front.connections), links=self.pools.count,
             links_opened=self.pools.opened, nodes=len(self.names), steps=loop.steps,
             discovery_failures=self.discovery_failures,
--- a/tansycrank/platform/front.py
+++ b/tansycrank/platform/front.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -89,7 +89,8 @@
             # Danger: a pause here would hide that the client has left, with its requests still in line.
             self.held += data
             if len(self.held) > MAX_HEAD + MAX_BODY:
-                self.transport.abortConnection()
+                self._give_back()
+                self._abort("more requests than may wait behind unread answers")
         else:
             self._feed(data)
 
@@ -231,7 +232,7 @@
             if close and self.fault is not None:
                 self._linger()
             elif close:
-                self.close()
+                self.close("asked for" if not slot.keep else "leaving")
             elif last and slot.asked:
                 self.front.rests(self)
 
@@ -248,31 +249,50 @@
 
     def _linger(self) -> None:
         """Close, so that the error is not lost to a reset by what still comes."""
-        self.closing = True
+        self._ends("unreadable")
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
         self.front.reactor.callLater(LINGER, self.transport.abortConnection)
 
-    def close(self) -> None:
+    def close(self, reason: str) -> None:
         """Close once what was written has left."""
         if not self.closing:
-            self.closing = True
+            self._ends(reason)
             self.transport.unregisterProducer()
             self.transport.loseConnection()
 
+    def _abort(self, reason: str) -> None:
+        """Close at once; what was written and has not left is lost."""
+        if not self.closing:
+            self._ends(reason)
+        self.transport.abortConnection()
+
+    def evict(self) -> None:
+        """Close at once, unused, for another connection."""
+        self._abort("to make room")
+
+    def _ends(self, reason: str) -> None:
+        """This process ends the connection: none of its requests may be open then."""
+        self.closing = True
+        front = self.front
+        front.closed[reason] += 1
+        owed = [slot.query.life for slot in self.slots if slot.query is not None]
+        front.coordinator.lifecycle.close_connection(owed, reason, front.coordinator.loop.now)
+
     def check(self, now: float) -> None:
         """Close what has waited too long; called now and then."""
         waited = now - self.since
         if self.closing:
             if waited >= UNREAD:
-                self.transport.abortConnection()
+                self._abort("last answer not read")
         elif self.unread_since is not None:
             if now - self.unread_since >= UNREAD:
-                self.transport.abortConnection()
+                self._give_back()
+                self._abort("answers not read")
         elif self.in_message and waited >= REQUEST_WITHIN:
             self._refuse(408, f"a request has to come within {REQUEST_WITHIN} s")
         elif self.idle and waited >= (IDLE_CLIENT if self.spoke else REQUEST_WITHIN):
-            self.close()
+            self.close("unused" if self.spoke else "silent")
 
     # --- the transport's word ---------------------------------------------------------
 
@@ -316,6 +336,7 @@
         self._look = None
         self.ready = self.draining = False
         self.counts = {"accepted": 0, "unusable": 0, "unreadable": 0, "evicted": 0, "paused": 0}
+        self.closed: Counter[str] = Counter()  # connections that this process closed, by reason
         self.latest = ""  # why a request could not be used
         self.port = None  # the listening port, which a full router pauses
         module = settings.module
@@ -377,8 +398,7 @@
             return False
         self.counts["evicted"] += 1
         del self.connections[victim]
-        victim.closing = True
-        victim.transport.abortConnection()
+        victim.evict()
         return True
 
     def rests(self, connection: Connection) -> None:
@@ -390,7 +410,7 @@
         if len(self.unused) > self.settings.max_unused:
             longest = next(iter(self.unused))
             del self.unused[longest]
-            longest.close()
+            longest.close("unused longest")
 
     def _pause(self) -> None:
         """Take no more connections for now; they wait in the system's queue."""
@@ -426,5 +446,5 @@
         now = self.now
         for connection in list(self.connections):
             if connection.idle and (connection.spoke or now - connection.since >= SILENT):
-                connection.close()
+                connection.close("leaving")
 
--- a/tansycrank/platform/links.py
+++ b/tansycrank/platform/links.py
@@ -14,6 +14,7 @@
 from zope.interface import implementer
 
 from tansycrank.interface import Outcome
+from tansycrank.lifecycle import Attempt
 from tansycrank.platform import frames
 from tansycrank.platform.settings import HALF_FRAME, IDLE_LINK, LATE_IDS, UNTAKEN
 from tansycrank.router.connecting import OneConnection
@@ -30,6 +31,7 @@
     text: bytes
     until: float
     done: Done | None
+    attempt: Attempt | None  # which says whether it may begin; None for one that was never made
     once: bytes = b""  # the key by which the node knows a repeat
     link: Link | None = None  # the link that carries it or will
     out: bool = False  # its bytes were handed to the socket
@@ -41,6 +43,21 @@
     leave_within: float = 0.0  # s until which its last byte may leave; 0: as long as it is waited for
     leaving: object = None  # the timer of that
 
+    @classmethod
+    def never(cls, id: bytes, shard: int) -> Sending:
+        """One that was not allowed; it has ended."""
+        return cls(id, shard, b"", 0.0, None, None, ended=True)
+
+    def begin(self, now: float) -> bool:
+        """Whether its bytes leave now; `now` is in s. One that may not begin ends here."""
+        if self.ended:
+            return False
+        if self.attempt.start(now * 1000) is not None:
+            self.finish(Outcome.NOT_SENT)
+            return False
+        self.out, self.written = True, now
+        return True
+
     def finish(self, outcome: Outcome, value: str = "", load: tuple[float, ...] = ()) -> None:
         """Report, once."""
         if self.ended:
@@ -114,12 +131,10 @@
                 words, self.words = self.words, []
                 call, data = [], b"".join(frames.give_up(id) for id in words)
             else:
-                call = [sending for sending in self.waiting.popleft() if not sending.ended]
+                call = [sending for sending in self.waiting.popleft() if sending.begin(now)]
                 if not call:
                     continue
-                for sending in call:
-                    sending.out, sending.written = True, now
-                    self.out[sending.id] = sending
+                self.out.update((sending.id, sending) for sending in call)
                 data = frames.call(
                     (s.id, s.shard, max(int((s.until - now) * 1000), 1), s.text, s.once) for s in call
                 )
@@ -336,7 +351,7 @@
     # --- sends ------------------------------------------------------------------------
 
     def send(
-        self, id: bytes, server: int, shard: int, text: bytes, time_out: float, done: Done,
+        self, id: bytes, server: int, shard: int, text: bytes, time_out: float, done: Done, attempt: Attempt,
         connect_within: float = 0.0, once: bytes = b"", leave_within: float = 0.0,
     ) -> Sending:
         """Send a part, with the others of this step to its node; times are ms.
@@ -345,7 +360,7 @@
         so is one whose last byte has not left after `leave_within`: it never ran. Where these are 0 none is.
         `done` is never called before this returns.
         """
-        sending = Sending(id, shard, text, self.now + time_out / 1000, done, once)
+        sending = Sending(id, shard, text, self.now + time_out / 1000, done, attempt, once)
         sending.connect_within, sending.leave_within = connect_within / 1000, leave_within / 1000
         node = self.nodes.get(server)
         if node is None:
--- a/tansycrank/router/coordinator.py
+++ b/tansycrank/router/coordinator.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from tansycrank import interface as io
+from tansycrank.lifecycle import Answer, Attempt, Lifecycle, NotAllowed, Request, Violation
 from tansycrank.merge.blocks import Keeper, Memory, PartStream
 from tansycrank.pg.errors import BROKE_OFF, FAILED, INTERNAL, REFUSED, PgError, cancelled
 from tansycrank.router.links import Ended, PartRequest
@@ -23,6 +24,7 @@
     id: int
     request: PartRequest
     attempts: list[Sending] = field(default_factory=list)
+    lives: list[Attempt | None] = field(default_factory=list)  # of the attempts; None for one never made
     sent_at: list[float] = field(default_factory=list)
     answer: PartStream | None = None  # the attempt whose rows count, whole or begun
     oids: tuple[int, ...] = ()
@@ -39,9 +41,14 @@
     memory: Memory
     done: Callable[[list[PartState] | PgError], None]
     began: float
-    ended: bool = False
+    life: Request
     story: list[tuple] = field(default_factory=list)  # (part, server, outcome, ms) for the log
 
+    @property
+    def ended(self) -> bool:
+        """Whether nothing is owed to its client any more."""
+        return not self.life.open
+
 
 class Coordinator:
     """Between the module and the sockets. Times in milliseconds of the reactor's clock."""
@@ -56,7 +63,9 @@
         on_watch: Callable[[bool], None],
         on_broken: Callable[[BaseException], None],
     ) -> None:
-        self.reactor, self.pools, self.keeper = reactor, pools, keeper
+        self.reactor, self.pools, self.keeper, self.settings = reactor, pools, keeper, settings
+        self.on_violation: Callable[[Violation], None] = lambda violation: None  # for the log
+        self.lifecycle = Lifecycle(settings, lambda violation: self.on_violation(violation))
         self.on_watch, self.on_broken = on_watch, on_broken
         self.jobs: dict[int, Job] = {}
         self._parts: dict[int, tuple[Job, PartState]] = {}
@@ -112,7 +121,11 @@
         self.loop.hear(
             io.QueryArrived(query, number, query_class, time_left, len(requests), repeat=repeat)
         )
-        job = Job(query, number, query_class, parts, self.keeper.open(streams), done, self.now)
+        cls, now = self.settings.classes[query_class], self.now
+        life = self.lifecycle.take(
+            str(query), cls.effect, cls.dedup_window, now + time_left, len(requests), now
+        )
+        job = Job(query, number, query_class, parts, self.keeper.open(streams), done, now, life)
         job.memory.on_refused = lambda problem: self._no_memory(job, problem)
         job.memory.on_began = lambda stream: self._began(job, stream)
         for request in requests:
@@ -131,10 +144,12 @@
             return
         self.counts["cancelled"] += 1
         self.loop.hear(io.QueryGone(job.id))
-        self._end(job, error or cancelled())
+        self.lifecycle.abandon(job.life, self.now)
+        self._forget(job, error or cancelled())
 
     def heard_list(self, event: io.ServerList) -> None:
-        """The roster spoke."""
+        """The roster spoke: nothing starts any more at an endpoint that is not in service."""
+        self.lifecycle.listed(event)
         self.loop.hear(event)
 
     def _broken(self, error: Exception) -> None:
@@ -148,17 +163,32 @@
     def _send(self, action: io.Send) -> None:
         job, part = self._parts[action.part]
         number = len(part.attempts)
-        part.sent_at.append(self.now)
+        now = self.now
+        part.sent_at.append(now)
         self.counts["sends"] += 1
+        try:
+            life = self.lifecycle.choose(
+                job.life, part.id, action.server, action.time_out, action.leave_within, now
+            )
+        except NotAllowed:
+            self._never_sent(action, part, number)
+            return
+        part.lives.append(life)
         stream = PartStream(job.memory, part.request.shard)
 
         def ended(result: Ended) -> None:
             self._ended(job, part, number, action.server, result)
 
-        sending = self.pools.send(action.server, part.request, stream, action.time_out, ended)
+        sending = self.pools.send(action.server, part.request, stream, action.time_out, ended, life)
         stream.on_close = lambda: self.pools.cancel(sending)
         part.attempts.append(sending)
 
+    def _never_sent(self, action: io.Send, part: PartState, number: int) -> None:
+        """End a send that was not allowed; the policy counts it among the attempts of its part."""
+        part.lives.append(None)
+        part.attempts.append(Sending.never(action.server, part.request))
+        self.loop.hear(io.AttemptEnded(part.id, number, action.server, io.Outcome.NOT_SENT, 0.0))
+
     def _began(self, job: Job, stream: PartStream) -> None:
         """Rows of this attempt are to leave as they come: the module hears that it has begun."""
         for part in job.parts:
@@ -171,6 +201,7 @@
 
     def _ended(self, job: Job, part: PartState, number: int, server: int, result: Ended) -> None:
         took = self.now - part.sent_at[number]
+        part.lives[number].end(result.outcome, self.now)
         stream = part.attempts[number].stream if number < len(part.attempts) else None
         self.loop.hear(io.AttemptEnded(part.id, number, server, result.outcome, took))
         job.story.append((part.request.shard, server, result.outcome.value, round(took, 1)))
@@ -211,8 +242,9 @@
         else:  # its rows are on their way out
             for part in job.parts:
                 for sending in part.attempts:
-                    sending.stream.finish(problem)
-                    self.pools.cancel(sending)
+                    if sending.stream is not None:
+                        sending.stream.finish(problem)
+                        self.pools.cancel(sending)
 
     def _cancel(self, action: io.Cancel) -> None:
         if action.part in self._parts:
@@ -223,42 +255,44 @@
         job = self.jobs.get(action.query)
         if job is None:
             return
-        if not action.whole or any(part.answer is None for part in job.parts):
-            self._fail(io.Fail(action.query))  # rule 5: no front asks for answers in part yet
+        if not action.whole:
+            self._fail(io.Fail(action.query))  # no front asks for answers in part yet
             return
-        self.counts["answered"] += 1
-        self._end(job, job.parts)
+        missing = sum(part.answer is None for part in job.parts)
+        allowed = self.lifecycle.answer(job.life, Answer.WHOLE, self.now, missing)
+        if allowed is Answer.WHOLE:
+            self.counts["answered"] += 1
+            self._forget(job, job.parts)
+        elif allowed is Answer.FAILED:
+            self.counts["failed"] += 1
+            self._forget(job, given_up())
 
     def _shed(self, action: io.Shed) -> None:
         job = self.jobs.get(action.query)
         if job is not None:
-            self.counts["refused"] += 1
-            self._end(
-                job,
-                PgError(
-                    REFUSED,
-                    "refused: not answerable in time now; trying again is harmless",
-                    detail=f"retry_after_ms={action.hold_off:.0f}",
-                    hint="come back after the time in the detail field",
-                ),
+            refused = PgError(
+                REFUSED,
+                "refused: not answerable in time now; trying again is harmless",
+                detail=f"retry_after_ms={action.hold_off:.0f}",
+                hint="come back after the time in the detail field",
             )
+            allowed = self.lifecycle.answer(job.life, Answer.REFUSED, self.now)
+            self.counts["refused" if allowed is Answer.REFUSED else "failed"] += 1
+            self._forget(job, refused if allowed is Answer.REFUSED else given_up())
 
     def _fail(self, action: io.Fail) -> None:
         job = self.jobs.get(action.query)
         if job is not None:
             self.counts["failed"] += 1
-            self._end(
-                job,
-                PgError(
-                    FAILED,
-                    "given up: it may or may not have taken effect",
-                    hint="look whether it did before you try again",
-                ),
-            )
+            self._end(job, given_up())
+
+    def _end(self, job: Job, problem: PgError) -> None:
+        """The one final answer of a query that has failed."""
+        if self.lifecycle.answer(job.life, Answer.FAILED, self.now) is not None:
+            self._forget(job, problem)
 
-    def _end(self, job: Job, answer: list[PartState] | PgError) -> None:
-        """The one final answer of a query."""
-        job.ended = True
+    def _forget(self, job: Job, answer: list[PartState] | PgError) -> None:
+        """A query has its answer, or nobody waits for one any more."""
         self.jobs.pop(job.id, None)
         for part in job.parts:
             if all(s.ended for s in part.attempts):
@@ -269,3 +303,12 @@
 
     def _close_idle(self, action: io.CloseIdle) -> None:
         self.pools.close_idle(action.server)
+
+
+def given_up() -> PgError:
+    """The answer to a query that may or may not have run."""
+    return PgError(
+        FAILED,
+        "given up: it may or may not have taken effect",
+        hint="look whether it did before you try again",
+    )
--- a/tansycrank/router/pool.py
+++ b/tansycrank/router/pool.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from tansycrank.interface import Outcome
+from tansycrank.lifecycle import Attempt
 from tansycrank.merge.blocks import PartStream
 from tansycrank.router.connecting import OneConnection
 from tansycrank.router.links import Ended, NodeLink, PartRequest, refused_outcome
@@ -22,11 +23,17 @@
     request: PartRequest
     stream: PartStream
     done: Callable[[Ended], None]
+    attempt: Attempt | None  # which says whether it may begin; None for one that was never made
     link: NodeLink | None = None
     out: bool = False  # its bytes left this process
     ended: bool = False
     timer: object = None
 
+    @classmethod
+    def never(cls, server: int, request: PartRequest) -> Sending:
+        """One that was not allowed; it has ended."""
+        return cls(server, request, None, lambda ended: None, None, ended=True)
+
     def untimed(self) -> None:
         """Its answer has begun to leave for the client: no time-out runs any more."""
         if self.timer is not None and self.timer.active():
@@ -106,9 +113,10 @@
         stream: PartStream,
         time_out: float,
         done: Callable[[Ended], None],
+        attempt: Attempt,
     ) -> Sending:
         """Send a part; `done` hears its one outcome, never before this returns."""
-        sending = Sending(server, request, stream, done)
+        sending = Sending(server, request, stream, done, attempt)
         node = self.nodes.get(server)
         if node is None:
             self.reactor.callLater(0, sending.finish, Ended(Outcome.UNCONNECTED))
@@ -116,7 +124,9 @@
         if time_out > 0:
             sending.timer = self.reactor.callLater(time_out / 1000, self._timed_out, sending)
         if node.idle:
-            self._run(node.idle.pop(), sending)
+            link = node.idle.pop()
+            if not self._run(link, sending):
+                node.idle.append(link)
         elif len(node.all) >= self.store.max_links:
             self.reactor.callLater(0, sending.finish, Ended(Outcome.REJECTED))
         else:
@@ -142,10 +152,16 @@
             node.waiting.remove(sending)  # its connection, once there, waits for the next send
         sending.finish(Ended(if_not))
 
-    def _run(self, link: NodeLink, sending: Sending) -> None:
+    def _run(self, link: NodeLink, sending: Sending) -> bool:
+        """Write a send to its link; False if it may not begin any more, and ends."""
+        now = self.reactor.seconds()
+        if sending.attempt.start(now * 1000) is not None:
+            self.reactor.callLater(0, sending.finish, Ended(Outcome.NOT_SENT))
+            return False
         sending.link, sending.out = link, True
-        link.used = self.reactor.seconds()
+        link.used = now
         link.run(sending.request, sending.stream, sending.finish)
+        return True
 
     def _open(self, node: NodePool) -> None:
         grace = self.store.cancel_grace_ms / 1000
@@ -158,10 +174,10 @@
             if timer.active():
                 timer.cancel()
             link.used = self.reactor.seconds()
-            if node.waiting:
-                self._run(link, node.waiting.pop(0))
-            else:
-                node.idle.append(link)
+            while node.waiting:
+                if self._run(link, node.waiting.pop(0)):
+                    return
+            node.idle.append(link)
 
         def lost(link: NodeLink, refusal) -> None:
             if timer.active():
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,7 @@
 
 from tansycrank import interface as io
 from tansycrank.brain import Router
+from tansycrank.lifecycle import Lifecycle
 
 SAFE = io.QueryClass(aim=1000.0, give_up=4000.0, worth=1.0, late_worth=0.5)
 
@@ -92,3 +93,18 @@
 
 def of(kind, actions):
     return [action for action in actions if isinstance(action, kind)]
+
+
+class Lives:
+    """Attempts for tests of connections: each the only one of a request of its own."""
+
+    def __init__(self, servers=range(1, 10)):
+        settings = io.Settings(classes=(io.QueryClass(aim=1000.0, give_up=2000.0, worth=1.0),))
+        self.violations = []
+        self.lifecycle = Lifecycle(settings, self.violations.append)
+        self.lifecycle.listed(io.ServerList(io.ListKind.FULL, tuple(map(listed, servers))))
+
+    def attempt(self, now, server=1, time_out=1000.0, start_within=0.0, name="q"):
+        """`now` is ms of the clock of the connections."""
+        request = self.lifecycle.take(name, io.Effect.SAFE, 0.0, now + 60_000.0, 1, now)
+        return self.lifecycle.choose(request, 0, server, time_out, start_within, now)
--- a/tests/platform/test_endings.py
+++ b/tests/platform/test_endings.py
@@ -300,6 +300,7 @@
         coordinator, router = daemon.coordinator, daemon.coordinator.loop.router
         assert not coordinator.queries and not coordinator._parts and not coordinator._by_number
         assert coordinator.held == 0 and not daemon.front.settling
+        assert not coordinator.lifecycle.violated and not coordinator.lifecycle._open
         if not daemon.stopped:
             assert sum(coordinator.outcomes.values()) == coordinator.counts["sends"]
             assert not router.queries and not router.parts and not router.out
--- a/tests/platform/test_node_links.py
+++ b/tests/platform/test_node_links.py
@@ -1,6 +1,7 @@
 """Connections to data nodes: calls, spoilt answers, exactly one outcome a send."""
 
 import pytest
+from helpers import Lives
 from hypothesis import given
 from hypothesis import strategies as st
 from live import Live, Peer, answer, frame, post
@@ -23,12 +24,15 @@
             self.reactor, streams, call_parts, 250.0, 10_000.0, max_links, lambda *a, **k: self.log.append(a)
         )
         self.pools.place(1, "127.0.0.1", 7070)
+        self.lives = Lives()
         self.ends = {}
 
     def send(self, *ids, time_out=1000.0, server=1, connect_within=0.0, leave_within=0.0):
         sendings = [
             self.pools.send(
-                id.encode(), server, 0, b"text", time_out, self.hear(id), connect_within, b"", leave_within
+                id.encode(), server, 0, b"text", time_out, self.hear(id),
+                self.lives.attempt(self.reactor.seconds() * 1000, server, time_out, leave_within),
+                connect_within, b"", leave_within
             ) for id in ids
         ]
         self.pools.flush()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,6 +1,7 @@
 """Links and pools: exactly one outcome a send, and what each outcome proves."""
 
 import pytest
+from helpers import Lives
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from tansycrank.config import StoreSection
@@ -36,13 +37,15 @@
         self.keeper = Keeper(1 << 26, 1 << 24, SpillSpace("", 0), lambda: 0.0)
         self.pools = Pools(self.reactor, StoreSection(**store), {"user": "x"}, max_row)
         self.streams = []
+        self.lives = Lives()
         self.pools.place(1, *ADDRESS)
         self.ended, self.links = [], []
 
     def send(self, request=ASK, time_out=0.0):
         stream = PartStream(self.keeper.open(False))
         self.streams.append(stream)
-        return self.pools.send(1, request, stream, time_out, self.ended.append)
+        attempt = self.lives.attempt(self.reactor.seconds() * 1000)
+        return self.pools.send(1, request, stream, time_out, self.ended.append, attempt)
 
     def accept(self, greet=True):
         """Let the newest connection stand."""
