Randomized soak of the platform's router: real processes, overlapping faults, an oracle

tansycrank soak: 10 to 40 processes drawn from a seed (routers with wall clocks of their own, stand-in nodes, discovery, clients), sixteen kinds of fault, ten invariants judged from what clients, nodes and discovery recorded; a failing seed prints its first violation with the request's history and the command that plays it again.

--- a/tansycrank/cli.py
+++ b/tansycrank/cli.py
@@ -243,3 +243,40 @@
     fairness (a flood beside other tenants), door-memory, door-honesty and door-size (the last two simulated).
     """
     _experiment("measure", name, as_json, seed, quick, out)
+
+
+@main.command()
+@click.option("--seed", "seeds", multiple=True, type=int, help="A seed to play; may be given many times.")
+@click.option("--seeds", "count", default=1, show_default=True, help="Without --seed: the seeds 1 to this.")
+@click.option("--seconds", default=20.0, show_default=True, help="How long each runs.")
+@click.option("--processes", default=40, show_default=True, type=click.IntRange(10, 40), help="At most.")
+@click.option("--folder", default=None, type=click.Path(file_okay=False), help="Keep the records there.")
+@click.option("--bug", default="", help="Give the routers a seeded bug, which must be caught.")
+@click.option("--out", default=None, type=click.Path(dir_okay=False), help="Write the totals there as JSON.")
+def soak(
+    seeds: tuple[int, ...], count: int, seconds: float, processes: int, folder: str | None, bug: str,
+    out: str | None,
+) -> None:
+    """Play random overlapping faults on real processes; exit code 1 if an invariant was broken.
+
+    Routers of the platform, with wall clocks of their own, beside stand-in nodes, discovery and clients on
+    loopback. A seed that fails prints its first violation with the whole history of its request.
+    """
+    from tansycrank.lab.soak import run as soaks
+    from tansycrank.lab.soak.seeded_bugs import BUGS
+
+    if bug and bug not in BUGS:
+        raise click.BadParameter(f"{bug!r}; there are: {', '.join(BUGS)}", param_hint="--bug")
+    reports = []
+    for seed in seeds or range(1, count + 1):
+        kept = Path(folder) / str(seed) if folder else None
+        report = soaks.soak(seed, seconds, processes, kept, bug)
+        click.echo(report.summary)
+        for line in report.details():
+            click.echo(line)
+        reports.append(report)
+    total = soaks.totals(reports)
+    click.echo(json.dumps(total, indent=2))
+    if out:
+        Path(out).write_text(json.dumps(total, indent=2) + "\n", encoding="utf-8")
+    sys.exit(0 if all(report.passed for report in reports) else 1)
--- /dev/null
+++ b/tansycrank/lab/soak/clients.py
@@ -0,0 +1,227 @@
+"""Clients of the routers: `python -m tansycrank.lab.soak.clients SPEC`, SPEC in JSON. Bounded in count.
+
+Orders on the control line: {"router": n, "accepts": bool} whether new connections may be made to a router,
+{"stop": true}: finish what is open, write the records and end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import socket
+import struct
+import sys
+from contextlib import suppress
+from pathlib import Path
+
+import msgspec
+
+from tansycrank.clock import monotonic_ms
+from tansycrank.lab.soak import records
+from tansycrank.lab.soak.plan import EFFECTS, SHARDS
+from tansycrank.lab.soak.process import announce, control, until_orphaned
+from tansycrank.lab.soak.records import ClientRecord, Ending, HalfRequest
+
+MOST_SHARDS = 4  # of one request
+THINK = 0.1  # s between two requests of a client, in the mean
+LEAVES, STOPS_HALFWAY = 0.08, 0.02  # shares of requests
+LEAVES_WITHIN = 0.06  # s after sending, so that its sub-requests wait, or have just gone out
+DEADLINES = (0.02, 0.15, 0.5, 1.0, 1.0)  # of the longest
+LONG_AFTER = 3.0  # s after its deadline until which an answer is waited for
+HALFWAY = 3.5  # s that a client which stopped halfway stays
+NEVER_READ = 0.02  # share of requests that a client sends in two pieces
+
+
+class ClientsSpec(msgspec.Struct):
+    """How to start them. `ports` are the routers'; times are ms."""
+
+    name: str
+    folder: str
+    seed: int
+    clients: int
+    ports: list[int]
+    give_up: float
+
+
+class Connection:
+    """One kept connection to a router."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer, self.used = reader, writer, False
+
+    def close(self, reset: bool = False) -> None:
+        """End it, with FIN or RST."""
+        if reset:
+            linger = struct.pack("ii", 1, 0)
+            self.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.writer.close()
+
+    async def answer(self) -> tuple[int, dict[str, str], bytes]:
+        """Status, headers and body of the next answer. Raises OSError or EOFError where it ends before."""
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        first, *lines = head.split("\r\n")
+        headers = {}
+        for line in filter(None, lines):
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+        body = await self.reader.readexactly(int(headers.get("content-length", 0)))
+        return int(first.split(" ")[1]), headers, body
+
+
+class Clients:
+    """All clients of this process."""
+
+    def __init__(self, spec: ClientsSpec) -> None:
+        self.spec, self.chance = spec, random.Random(spec.seed)
+        self.accepts = [True] * len(spec.ports)
+        self.stopping = asyncio.Event()
+        self.numbers = 0
+        self.asked: list[ClientRecord] = []
+        self.halves: list[HalfRequest] = []
+
+    def order(self, order: dict) -> None:
+        """One order of the control line."""
+        if order.get("stop"):
+            self.stopping.set()
+        if "router" in order:
+            self.accepts[order["router"]] = order["accepts"]
+
+    async def run(self) -> None:
+        """All clients, until told to stop."""
+        await asyncio.gather(*(self.client() for _ in range(self.spec.clients)))
+        folder = Path(self.spec.folder)
+        records.write(folder / f"{self.spec.name}.jsonl", self.asked)
+        records.write(folder / f"{self.spec.name}-halves.jsonl", self.halves)
+
+    async def client(self) -> None:
+        """One client: one request at a time, its connections kept."""
+        kept: dict[int, Connection] = {}
+        while not self.stopping.is_set():
+            await asyncio.sleep(self.chance.expovariate(1 / THINK))
+            router = self.chance.randrange(len(self.spec.ports))
+            if self.chance.random() < STOPS_HALFWAY:
+                await self.stop_halfway(router)
+            else:
+                await self.ask(router, kept)
+        for connection in kept.values():
+            connection.close()
+
+    async def connect(self, router: int) -> Connection | None:
+        """A new connection, if there may be one."""
+        if not self.accepts[router]:
+            return None
+        try:
+            return Connection(*await asyncio.open_connection("127.0.0.1", self.spec.ports[router]))
+        except OSError:
+            return None
+
+    async def ask(self, router: int, kept: dict[int, Connection]) -> None:
+        """One request, sent once more on a new connection where it crossed the end of a kept one."""
+        if connection := kept.pop(router, None):
+            if await self.exchange(router, connection, kept) is not Ending.CROSSED:
+                return
+        if connection := await self.connect(router):
+            await self.exchange(router, connection, kept)
+
+    async def exchange(self, router: int, connection: Connection, kept: dict[int, Connection]) -> Ending:
+        """Send a request, hear its answer, keep the connection if it goes on; how that ended."""
+        name, shards = self.chance.choice(list(EFFECTS)), self.some_shards()
+        self.numbers += 1
+        id = f"{self.spec.name}-{router}-{self.numbers}"
+        deadline = int(self.chance.choice(DEADLINES) * self.spec.give_up)
+        record = ClientRecord(id, router, EFFECTS[name], shards, 0.0, deadline, 0.0, Ending.NO_ANSWER)
+        leaves = self.chance.random() < LEAVES
+        crossed = False
+        try:
+            await self.send(connection, request_bytes(id, name, shards, deadline))
+            record.sent = monotonic_ms()
+            wait = self.chance.uniform(0.0, LEAVES_WITHIN) if leaves else deadline / 1000 + LONG_AFTER
+            status, headers, body = await asyncio.wait_for(connection.answer(), wait)
+            record.ending, record.detail = judge(id, shards, status, body)
+            if headers.get("connection", "").lower() != "close":
+                connection.used = True
+                kept[router] = connection
+            else:
+                connection.close()
+        except TimeoutError:
+            record.ending = Ending.LEFT if leaves else Ending.NO_ANSWER
+            connection.close(reset=self.chance.random() < 0.5)
+        except (OSError, EOFError) as problem:
+            crossed = connection.used and not getattr(problem, "partial", b"")
+            record.ending = Ending.CROSSED if crossed else Ending.NO_ANSWER
+            record.detail = repr(problem)
+            connection.close()
+        record.ended = monotonic_ms()
+        record.sent = record.sent or record.ended
+        self.asked.append(record)
+        return record.ending
+
+    async def send(self, connection: Connection, data: bytes) -> None:
+        """A request in one piece, or in two."""
+        if self.chance.random() < NEVER_READ:
+            cut = self.chance.randrange(1, len(data))
+            connection.writer.write(data[:cut])
+            await asyncio.sleep(0.02)
+            data = data[cut:]
+        connection.writer.write(data)
+        await connection.writer.drain()
+
+    def some_shards(self) -> tuple[int, ...]:
+        """The shards of a request."""
+        return tuple(sorted(self.chance.sample(range(SHARDS), self.chance.randint(1, MOST_SHARDS))))
+
+    async def stop_halfway(self, router: int) -> None:
+        """Stop in the middle of a request, and stay: an error or a close is owed."""
+        connection = await self.connect(router)
+        if connection is None:
+            return
+        data = request_bytes("half", "look", self.some_shards(), 500)
+        connection.writer.write(data[: self.chance.randrange(1, len(data) - 1)])
+        sent = monotonic_ms()
+        ended = False
+        with suppress(OSError, TimeoutError):
+            await asyncio.wait_for(connection.reader.read(1), HALFWAY)
+            ended = True
+        self.halves.append(HalfRequest(router, sent, monotonic_ms(), ended))
+        connection.close()
+
+
+def request_bytes(id: str, name: str, shards: tuple[int, ...], deadline: int) -> bytes:
+    """A request as clients of the platform write it."""
+    parts = [{"shard": shard, "weight": 1 / len(shards)} for shard in shards]
+    body = json.dumps({"shards": parts, "q": "c41e77d0"})
+    key = f"Idempotency-Key: key-{id}\r\n" if EFFECTS[name] == "idempotency_key" else ""
+    return (
+        f"POST /{name}?obj=7f3a9c21e0b4d655 HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: {id}\r\n"
+        f"X-Deadline-Ms: {deadline}\r\n{key}Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+def judge(id: str, shards: tuple[int, ...], status: int, body: bytes) -> tuple[Ending, str]:
+    """What an answer says, and what is wrong with it."""
+    if status in (429, 503):
+        return Ending.REFUSED, body.decode("utf-8", "replace")
+    if status != 200:
+        return Ending.FAILED, f"{status} {body.decode('utf-8', 'replace')}"
+    found = json.loads(body)
+    values = {hit["shard"]: hit["doc"] for hit in found["hits"]}
+    wrong = {shard: value for shard, value in values.items() if value != f"{id}/{shard}"}
+    if wrong:
+        return Ending.ANSWERED, f"WRONG values {wrong}"
+    if found["complete"] and set(values) != set(shards):
+        return Ending.ANSWERED, f"WRONG: whole with shards {sorted(values)}"
+    return (Ending.ANSWERED if found["complete"] else Ending.PARTIAL), ""
+
+
+async def main() -> None:
+    """Ask until told to stop, or until the parent is gone."""
+    clients = Clients(msgspec.json.decode(sys.argv[1], type=ClientsSpec))
+    announce(control=await control(clients.order))
+    orphaned = asyncio.ensure_future(until_orphaned())
+    running = asyncio.ensure_future(clients.run())
+    await asyncio.wait((orphaned, running), return_when=asyncio.FIRST_COMPLETED)
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/tansycrank/lab/soak/fleet.py
@@ -0,0 +1,453 @@
+"""Starts the processes of a soak, carries out its faults, and hands over what was recorded."""
+
+from __future__ import annotations
+
+import json
+import os
+import selectors
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from tansycrank import clock
+from tansycrank.lab.preload import WallClock
+from tansycrank.lab.soak import records
+from tansycrank.lab.soak.clients import ClientsSpec
+from tansycrank.lab.soak.discovery import DiscoverySpec
+from tansycrank.lab.soak.node import NodeSpec
+from tansycrank.lab.soak.oracle import Evidence
+from tansycrank.lab.soak.plan import SHARDS, ZONES, Fault, FaultKind, Plan
+from tansycrank.lab.soak.records import ClientRecord, FaultRecord, HalfRequest, NodeEvent, Told
+
+ROOT = Path(__file__).parents[3]
+STARTS_WITHIN = 30.0  # s for a process to say that it stands
+NO_NEW_CONNECTIONS = 0.3  # s after SIGTERM from which on clients make none to that router
+KILL_AFTER = 0.7  # s, on top of the longest deadline, from SIGTERM to SIGKILL
+TOLD_AFTER = 0.3  # s until discovery knows that a node died
+SETTLE = 1.0  # s after the last request, for what nodes still have to note
+
+
+class StartFailed(RuntimeError):
+    """A process of the soak did not come up."""
+
+
+class ControlLine:
+    """Orders to a stand-in, never waited for: it may be stopped just then."""
+
+    def __init__(self, port: int) -> None:
+        self._socket = socket.create_connection(("127.0.0.1", port), timeout=STARTS_WITHIN)
+        self._socket.setblocking(False)
+
+    def order(self, **order: object) -> None:
+        """Send one; it is lost if the other side is gone."""
+        try:
+            self._socket.sendall(msgspec.json.encode(order) + b"\n")
+        except OSError:
+            pass
+
+    def close(self) -> None:
+        """Let go of it."""
+        self._socket.close()
+
+
+def start_module(module: str, spec: msgspec.Struct) -> tuple[subprocess.Popen, dict]:
+    """A stand-in process, and what it announced."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", f"tansycrank.lab.soak.{module}", msgspec.json.encode(spec).decode()],
+        stdout=subprocess.PIPE, cwd=ROOT,
+    )
+    return process, announced(process, module)
+
+
+def announced(process: subprocess.Popen, what: str) -> dict:
+    """The line of JSON that a process prints once it stands. Raises StartFailed."""
+    with selectors.DefaultSelector() as selector:
+        selector.register(process.stdout, selectors.EVENT_READ)
+        line = process.stdout.readline() if selector.select(STARTS_WITHIN) else b""
+    if not line:
+        raise StartFailed(f"{what} did not come up")
+    return msgspec.json.decode(line)
+
+
+def free_port() -> int:
+    """A port of loopback that nobody listens on now."""
+    with socket.create_server(("127.0.0.1", 0)) as made:
+        return made.getsockname()[1]
+
+
+class RouterProcess:
+    """One router under test, with a wall clock of its own."""
+
+    def __init__(self, fleet: Fleet, number: int) -> None:
+        self.fleet, self.number = fleet, number
+        self.port = free_port()
+        self.wall_clock = WallClock(
+            fleet.folder, f"router-{number}", fleet.plan.wrong_from_the_start[number]
+        )
+        self.config = fleet.folder / f"router-{number}.json"
+        self.log = fleet.folder / f"router-{number}.log"
+        self.discovery_at = 0  # which of its two ports of discovery it is configured for
+        self.process: subprocess.Popen | None = None
+        self.busy = threading.Lock()  # one fault at a time that ends its process
+
+    def write_config(self) -> None:
+        """Its configuration file, with the list that discovery holds now."""
+        fleet, settings = self.fleet, dict(self.fleet.plan.settings)
+        settings["zone"] = self.number % len(ZONES)
+        known = {"version": fleet.version, "full": True, "servers": list(fleet.entries.values())}
+        ports = fleet.discovery_ports[self.number]
+        self.config.write_text(json.dumps({
+            "name": f"n{self.number}", "listen": f"127.0.0.1:{self.port}",
+            "discovery": f"127.0.0.1:{ports[self.discovery_at]}", "seed": f"{fleet.plan.seed + 1:016x}",
+            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256}, "known": known, "settings": settings,
+        }))
+
+    def start(self) -> None:
+        """Start its process and wait until it is ready. Raises StartFailed."""
+        self.write_config()
+        states = {id: entry["state"] for id, entry in self.fleet.entries.items()}
+        self.fleet.lives.append(Told(clock.monotonic_ms(), self.number, self.fleet.version, states, True))
+        environment = os.environ | {"NODE_CONFIG": str(self.config), "PYTHONPATH": str(ROOT)}
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", *self.fleet.program], cwd=self.fleet.folder, stderr=log,
+                env=environment | self.wall_clock.environment,
+            )
+        until = time.monotonic() + STARTS_WITHIN
+        while not self.is_ready():
+            if time.monotonic() > until or self.process.poll() is not None:
+                raise StartFailed(f"router {self.number}: {self.log.read_text()[-1500:]}")
+            time.sleep(0.02)
+
+    def is_ready(self) -> bool:
+        """Whether it says so."""
+        try:
+            with socket.create_connection(("127.0.0.1", self.port), timeout=1.0) as probe:
+                probe.sendall(b"GET /-/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+                return b" 200 " in probe.recv(200)
+        except OSError:
+            return False
+
+    def signal(self, number: int) -> None:
+        """Signal its process, if there is one."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+class NodeProcess:
+    """One data node."""
+
+    def __init__(self, fleet: Fleet, number: int) -> None:
+        self.fleet, self.number, self.name = fleet, number, f"s-{number}"
+        self.process, self.line, self.port = None, None, 0
+        self.journal = fleet.folder / f"node-{number}.jsonl"
+        self.busy = threading.Lock()  # one fault at a time that ends its process
+
+    def start(self, cold: bool) -> None:
+        """Start its process, on the port it had."""
+        spec = NodeSpec(
+            self.name, str(self.journal), self.fleet.plan.seed * 100 + self.number, self.port,
+            clock.monotonic_ms() if cold else 0.0,
+        )
+        self.process, told = start_module("node", spec)
+        self.port, self.line = told["port"], ControlLine(told["control"])
+        self.started_ms = clock.unix_ms() if cold else 0.0
+
+    def entry(self, state: str) -> dict:
+        """As discovery lists it."""
+        return {
+            "id": self.name, "addr": f"127.0.0.1:{self.port}", "zone": ZONES[self.number % len(ZONES)],
+            "kind": "k", "cell": self.number % SHARDS, "state": state, "weight": 1.0,
+            "started_ms": self.started_ms,
+        }
+
+
+class Fleet:
+    """All processes of one run; `close` ends them."""
+
+    def __init__(self, plan: Plan, folder: Path, bug: str = "") -> None:
+        """`bug` names one of `seeded_bugs`, which the routers shall have."""
+        self.plan, self.folder = plan, folder
+        self.program = ("tansycrank.lab.soak.seeded_bugs", bug) if bug else ("tansycrank", "run")
+        self.began = 0.0
+        self.version = 1
+        self.entries: dict[str, dict] = {}
+        self.changes: list[tuple[float, str, str]] = []
+        self.lives: list[Told] = []
+        self.faults: list[FaultRecord] = []
+        self.problems: list[str] = []  # what no oracle sees: a router that died, or did not end
+        self.changing = threading.Lock()
+        self.discovery_busy = threading.Lock()
+        self.discovery: subprocess.Popen | None = None
+        self.discovery_line: ControlLine | None = None
+        self.discovery_ports = [[0, 0] for _ in range(plan.routers)]
+        self.discovery_control = 0
+        self.nodes = [NodeProcess(self, number) for number in range(plan.nodes)]
+        self.routers: list[RouterProcess] = []
+        self.clients: list[subprocess.Popen] = []
+        self.client_lines: list[ControlLine] = []
+
+    # --- start and end ----------------------------------------------------------------
+
+    def start(self) -> None:
+        """Start everything; clients last."""
+        self._together([lambda node=node: node.start(cold=False) for node in self.nodes])
+        self.entries = {node.name: node.entry("in_service") for node in self.nodes}
+        self.start_discovery()
+        self.routers = [RouterProcess(self, number) for number in range(self.plan.routers)]
+        self._together([router.start for router in self.routers])
+        for number in range(self.plan.client_processes):
+            spec = ClientsSpec(
+                f"c{number}", str(self.folder), self.plan.seed * 10 + number, self.plan.clients,
+                [router.port for router in self.routers], self.plan.give_up,
+            )
+            process, told = start_module("clients", spec)
+            self.clients.append(process)
+            self.client_lines.append(ControlLine(told["control"]))
+        self.began = time.monotonic()
+
+    def start_discovery(self) -> None:
+        """Start discovery, or start it again on its ports, with the list as it is."""
+        spec = DiscoverySpec(
+            str(self.folder / "discovery.jsonl"), self.version, list(self.entries.values()),
+            self.discovery_ports, self.discovery_control,
+        )
+        self.discovery, told = start_module("discovery", spec)
+        self.discovery_ports, self.discovery_control = told["ports"], told["control"]
+        self.discovery_line = ControlLine(self.discovery_control)
+
+    @staticmethod
+    def _together(actions: list[Callable[[], None]]) -> None:
+        failed: list[Exception] = []
+
+        def run(action: Callable[[], None]) -> None:
+            try:
+                action()
+            except Exception as problem:
+                failed.append(problem)
+
+        threads = [threading.Thread(target=run, args=(action,)) for action in actions]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        if failed:
+            raise failed[0]
+
+    def play(self) -> Evidence:
+        """Carry out the plan's faults, each in a thread of its own; then all that was recorded."""
+        threads = []
+        for fault in self.plan.faults:
+            time.sleep(max(self.began + fault.at - time.monotonic(), 0.0))
+            thread = threading.Thread(target=self._carry_out, args=(fault,))
+            thread.start()
+            threads.append(thread)
+        time.sleep(max(self.began + self.plan.seconds - time.monotonic(), 0.0))
+        for thread in threads:
+            thread.join()
+        for line in self.client_lines:
+            line.order(stop=True)
+        for process in self.clients:
+            process.wait(timeout=STARTS_WITHIN)
+        time.sleep(SETTLE)
+        for router in self.routers:
+            if router.process.poll() is not None:
+                self.problems.append(f"router {router.number} died with code {router.process.returncode}")
+        return self.evidence()
+
+    def evidence(self) -> Evidence:
+        """All records."""
+        asked, halves, events = [], [], []
+        for number in range(self.plan.client_processes):
+            asked += records.read(self.folder / f"c{number}.jsonl", ClientRecord)
+            halves += records.read(self.folder / f"c{number}-halves.jsonl", HalfRequest)
+        for node in self.nodes:
+            events += records.read(node.journal, NodeEvent)
+        told = records.read(self.folder / "discovery.jsonl", Told)
+        return Evidence(self.plan, asked, halves, events, told, self.changes, self.lives, self.faults)
+
+    def router_logs(self) -> list[dict]:
+        """The events of all routers' logs."""
+        found = []
+        for router in self.routers:
+            for line in router.log.read_text().splitlines():
+                _, brace, rest = line.partition("{")
+                if brace:
+                    found.append({"router": router.number, **json.loads(brace + rest)})
+        return found
+
+    def close(self) -> None:
+        """End all processes that this fleet started."""
+        processes = [node.process for node in self.nodes] + [router.process for router in self.routers]
+        for process in filter(None, [*processes, *self.clients, self.discovery]):
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+            if process.stdout is not None:
+                process.stdout.close()
+        lines = [node.line for node in self.nodes] + self.client_lines + [self.discovery_line]
+        for line in filter(None, lines):
+            line.close()
+        for router in self.routers:
+            router.wall_clock.close()
+
+    # --- faults -----------------------------------------------------------------------
+
+    def _carry_out(self, fault: Fault) -> None:
+        at = clock.monotonic_ms()
+        target = str(fault.target)
+        try:
+            if fault.kind.name.startswith("NODE_"):
+                target = self.nodes[fault.target].name
+                done = self._node_fault(fault, self.nodes[fault.target])
+            elif fault.kind.name.startswith("ROUTER_"):
+                done = self._router_fault(fault, self.routers[fault.target])
+            else:
+                done = self._other_fault(fault)
+        except Exception as problem:
+            self.problems.append(f"{fault.kind.value}, {target}: {problem!r}")
+            return
+        if done:
+            until = clock.monotonic_ms()
+            self.faults.append(FaultRecord(at, fault.kind.name, target, until, fault.value))
+
+    def tell(self, node: NodeProcess, state: str) -> None:
+        """Discovery learns this of a node."""
+        with self.changing:
+            self.version += 1
+            entry = node.entry(state)
+            if state == "terminated":
+                self.entries.pop(node.name, None)
+            else:
+                self.entries[node.name] = entry
+            self.changes.append((clock.monotonic_ms(), node.name, state))
+            self.discovery_line.order(version=self.version, entry=entry)
+
+    def _node_fault(self, fault: Fault, node: NodeProcess) -> bool:
+        """Carry out a fault of a node; False where another one has its process just now."""
+        if not node.busy.acquire(blocking=False):
+            return False
+        try:
+            match fault.kind:
+                case FaultKind.NODE_HANG:
+                    node.process.send_signal(signal.SIGSTOP)
+                    time.sleep(fault.duration)
+                    node.process.send_signal(signal.SIGCONT)
+                case FaultKind.NODE_CRASH:
+                    self._replace(node, fault.duration)
+                case FaultKind.NODE_DRAIN:
+                    self.tell(node, "terminating")
+                    time.sleep(fault.duration)
+                    self._replace(node, fault.duration)
+                case FaultKind.NODE_RESET:
+                    node.line.order(reset=True)
+                case _:
+                    self._trouble(fault, node)
+        finally:
+            node.busy.release()
+        return True
+
+    def _replace(self, node: NodeProcess, away: float) -> None:
+        """A node dies, discovery learns of it, and it is back cold."""
+        node.process.kill()
+        node.process.wait()
+        node.process.stdout.close()
+        node.line.close()
+        time.sleep(TOLD_AFTER)
+        self.tell(node, "terminated")
+        time.sleep(away)
+        node.start(cold=True)
+        self.tell(node, "in_service")
+
+    def _trouble(self, fault: Fault, node: NodeProcess) -> None:
+        name = fault.kind.name.removeprefix("NODE_").lower()
+        usual = 1.0 if name == "slow" else 0.0
+        node.line.order(**{name: fault.value})
+        time.sleep(fault.duration)
+        node.line.order(**{name: usual})
+
+    def _router_fault(self, fault: Fault, router: RouterProcess) -> bool:
+        """Carry out a fault of a router; False where another one has its process just now."""
+        if not router.busy.acquire(blocking=False):
+            return False
+        try:
+            if fault.kind is FaultKind.ROUTER_PAUSE:
+                router.signal(signal.SIGSTOP)
+                time.sleep(fault.duration)
+                router.signal(signal.SIGCONT)
+            elif fault.kind is FaultKind.ROUTER_RESTART:
+                self._restart(router)
+            else:
+                router.process.kill()
+                router.process.wait()
+                router.start()
+        finally:
+            router.busy.release()
+        return True
+
+    def _restart(self, router: RouterProcess) -> None:
+        router.signal(signal.SIGTERM)
+        time.sleep(NO_NEW_CONNECTIONS)
+        self._accepts(router, False)
+        try:
+            router.process.wait(self.plan.give_up / 1000 + KILL_AFTER - NO_NEW_CONNECTIONS)
+        except subprocess.TimeoutExpired:
+            self.problems.append(f"router {router.number} had not ended when SIGKILL was due")
+            router.process.kill()
+            router.process.wait()
+        router.start()
+        self._accepts(router, True)
+
+    def _accepts(self, router: RouterProcess, accepts: bool) -> None:
+        for line in self.client_lines:
+            line.order(router=router.number, accepts=accepts)
+
+    def _other_fault(self, fault: Fault) -> bool:
+        match fault.kind:
+            case FaultKind.WALL_CLOCK:
+                self.routers[fault.target].wall_clock.step(fault.value)
+            case FaultKind.RECONFIGURE:
+                self._reconfigure(int(fault.value))
+            case FaultKind.WATCH_RESET:
+                self.discovery_line.order(reset=True)
+            case _:
+                return self._discovery_fault(fault)
+        return True
+
+    def _reconfigure(self, times: int) -> None:
+        """New configurations in quick succession, for all routers; each moves discovery."""
+        for _ in range(times):
+            for router in self.routers:
+                if router.busy.acquire(blocking=False):
+                    router.discovery_at = 1 - router.discovery_at
+                    router.write_config()
+                    router.signal(signal.SIGHUP)
+                    router.busy.release()
+            time.sleep(0.2)
+
+    def _discovery_fault(self, fault: Fault) -> bool:
+        if not self.discovery_busy.acquire(blocking=False):
+            return False
+        try:
+            if fault.kind is FaultKind.DISCOVERY_HANG:
+                self.discovery.send_signal(signal.SIGSTOP)
+                time.sleep(fault.duration)
+                self.discovery.send_signal(signal.SIGCONT)
+                return True
+            self.discovery.kill()
+            self.discovery.wait()
+            self.discovery.stdout.close()
+            time.sleep(fault.duration)
+            with self.changing:  # what changes meanwhile is in the list that it begins with
+                self.discovery_line.close()
+                self.start_discovery()
+        finally:
+            self.discovery_busy.release()
+        return True
--- /dev/null
+++ b/tansycrank/lab/soak/seeded_bugs.py
@@ -0,0 +1,140 @@
+"""Routers with one bug put in on purpose: `python -m tansycrank.lab.soak.seeded_bugs NAME`.
+
+They show that the soak catches what it is for. Nothing of it is reachable from the product.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Callable
+
+from tansycrank import clock
+from tansycrank import interface as io
+from tansycrank.lifecycle import Answer, Lifecycle
+from tansycrank.platform import daemon
+from tansycrank.platform.coordinator import Coordinator
+from tansycrank.platform.front import Connection
+
+
+def wall_clock() -> None:
+    """The incident itself: all spans of time rest on the wall clock."""
+    clock.MonotonicReactor.seconds = staticmethod(time.time)
+
+
+class _Unchecked:
+    """An attempt that starts whatever the rules say."""
+
+    def start(self, now: float) -> None:
+        """It may."""
+
+
+def sends_after_the_end() -> None:
+    """A sub-request goes out once more most of a second after its request's final answer."""
+    conclude = Coordinator._conclude
+
+    def concluded(self: Coordinator, query, kind: Answer, missing: int = 0, hold_off: float = 0.0) -> None:
+        conclude(self, query, kind, missing, hold_off)
+        part = query.parts[0]
+        if part.attempts:
+            server = next(iter(self.pools.nodes))
+            self.loop.reactor.callLater(
+                0.8, self.pools.send, part.name, server, part.shard, query.request.text, 500.0,
+                lambda *_: None, _Unchecked(),
+            )
+
+    Coordinator._conclude = concluded
+
+
+def deaf_to_drains() -> None:
+    """A node that drains or is gone is taken for one in service."""
+    heard = Coordinator.heard_list
+
+    def as_in_service(self: Coordinator, event: io.ServerList) -> None:
+        entries = tuple(
+            io.Listed(one.server, one.cell, one.zone, io.Status.READY, one.came_up, one.size_hint,
+                      one.incarnation)
+            for one in event.entries
+        )
+        heard(self, io.ServerList(event.kind, entries))
+
+    Coordinator.heard_list = as_in_service
+
+
+def repeats_unsafe() -> None:
+    """A connection that broke after the send is called one that never stood."""
+    io.Outcome.never_ran = property(lambda self: self is not io.Outcome.ANSWERED)
+
+
+def refuses_what_ran() -> None:
+    """A request that may have run is called harmless to repeat."""
+    answer = Lifecycle.answer
+
+    def refused(self: Lifecycle, request, kind: Answer, now: float, missing: int = 0) -> Answer | None:
+        allowed = answer(self, request, kind, now, missing)
+        return Answer.REFUSED if allowed is Answer.FAILED else allowed
+
+    Lifecycle.answer = refused
+
+
+def swaps_values() -> None:
+    """An answer brings a value of another request, now and then."""
+    conclude = Coordinator._conclude
+    kept: list[str | None] = [None]
+
+    def swapped(self: Coordinator, query, kind: Answer, missing: int = 0, hold_off: float = 0.0) -> None:
+        part = query.parts[0]
+        if query.id % 7 == 0 and part.value is not None and kept[0] is not None:
+            part.value = kept[0]
+        kept[0] = part.value
+        conclude(self, query, kind, missing, hold_off)
+
+    Coordinator._conclude = swapped
+
+
+def never_gives_up() -> None:
+    """What is not answered in time is not answered at all."""
+    Coordinator._shed = Coordinator._fail = lambda self, action: None
+
+
+def waits_for_halves() -> None:
+    """A request that does not go on is waited for without end."""
+    Connection.check = lambda self, now: None
+
+
+def drops_at_the_end() -> None:
+    """Connections close at SIGTERM, whatever is owed on them."""
+
+    def drop(self: daemon.Daemon) -> None:
+        for connection in list(self.front.connections):
+            connection.close("leaving")
+        self._stop()
+
+    daemon.Daemon.terminate = drop
+
+
+def tells_long_waits() -> None:
+    """Nodes are told to work on for long after their client is served or gone."""
+    from tansycrank.platform import frames
+
+    call = frames.call
+    frames.call = lambda parts: call((id, shard, wait + 5_000, *rest) for id, shard, wait, *rest in parts)
+
+
+BUGS: dict[str, Callable[[], None]] = {
+    bug.__name__.replace("_", "-"): bug
+    for bug in (
+        wall_clock, sends_after_the_end, deaf_to_drains, repeats_unsafe, refuses_what_ran, swaps_values,
+        never_gives_up, waits_for_halves, drops_at_the_end, tells_long_waits,
+    )
+}
+
+
+def main() -> int:
+    """Put in the bug that the first argument names, and run a router of the platform."""
+    BUGS[sys.argv[1]]()
+    return daemon.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
