A data node is told no longer wait than the client has left

Cause: _send waited to the aim where late answers earn nothing (or answers came late), though the deadline lay before it. Change: the wait ends at the deadline in the policy, and the lifecycle bounds each attempt by its request's. The new rule test failed before (1000 ms of 100).

--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -439,7 +439,7 @@
         self.parts_sent += len(part.attempts) == 1
         late_pays = query.cls.late_worth > 0 and self.lateness < START_SHARE
         useful = query.dead_at if late_pays or self.now >= query.aim_at else query.aim_at
-        time_out = max(useful - self.now, MIN_TIMER)
+        time_out = max(min(useful, query.dead_at) - self.now, MIN_TIMER)
         self.actions.append(io.Send(part.id, server.id, time_out, timer, leave_within))
         self._at(self.now + attempt.timer, self._timer_fired, attempt)
 
--- a/tansycrank/lifecycle.py
+++ b/tansycrank/lifecycle.py
@@ -263,10 +263,12 @@
     ) -> Attempt:
         """The policy wants an attempt; raises NotAllowed where none may be made.
 
-        It is waited for during `time_out`; its bytes leave within `start_within`, where that is above 0.
+        It is waited for during `time_out`, and to the request's deadline at most; its bytes leave within
+        `start_within`, where that is above 0.
         """
         start_by = now + start_within if start_within else float("inf")
-        attempt = Attempt(self, request, sub_request, endpoint, now + time_out, start_by)
+        deadline = min(now + time_out, request.deadline)
+        attempt = Attempt(self, request, sub_request, endpoint, deadline, start_by)
         self.checked[Invariant.NO_START_AFTER_END] += 1
         if reason := self._forbids(attempt, now):
             self.refused[reason] += 1
--- a/tansycrank/platform/coordinator.py
+++ b/tansycrank/platform/coordinator.py
@@ -188,8 +188,9 @@
             if query.ended:
                 self._forget(part)
 
+        time_out = attempt.deadline - began
         part.attempts.append(self.pools.send(
-            part.name, action.server, part.shard, query.request.text, action.time_out, ended, attempt,
+            part.name, action.server, part.shard, query.request.text, time_out, ended, attempt,
             action.connect_within, query.request.once, action.leave_within,
         ))
 
--- a/tansycrank/router/coordinator.py
+++ b/tansycrank/router/coordinator.py
@@ -179,7 +179,7 @@
         def ended(result: Ended) -> None:
             self._ended(job, part, number, action.server, result)
 
-        sending = self.pools.send(action.server, part.request, stream, action.time_out, ended, life)
+        sending = self.pools.send(action.server, part.request, stream, life.deadline - now, ended, life)
         stream.on_close = lambda: self.pools.cancel(sending)
         part.attempts.append(sending)
 
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,31 @@
+"""Soaks of a few seconds on real processes: the router passes, one with the incident's bug does not."""
+
+import pytest
+
+from tansycrank.lab.soak.run import soak, totals
+
+SECONDS = 9.0
+SEED = 5  # of six routers, with wall clocks wrong from the start and stepped
+
+
+@pytest.fixture(scope="module")
+def good():
+    return soak(SEED, SECONDS)
+
+
+def test_the_router_keeps_its_invariants_under_overlapping_faults(good):
+    assert good.passed, "\n".join(good.details())
+    assert good.faults["WALL_CLOCK"] and len(good.faults) >= 4
+    assert good.verdict.endings["answered"] > 100
+
+
+def test_its_report_tells_what_was_exercised(good):
+    total = totals([good])
+    assert total["failed_seeds"] == [] and total["checked_by_routers"]["one_answer"] > 100
+    assert {"answered", "no_double_effect", "deadline_passed_on"} <= set(total["exercised"])
+
+
+def test_a_router_whose_time_is_the_wall_clock_is_caught():
+    report = soak(SEED, SECONDS, bug="wall-clock")
+    assert not report.passed
+    assert f"--seed {SEED}" in report.details()[-1]
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -231,3 +231,9 @@
         router.started(request).end(Outcome.ANSWERED, 5.0)
         router.lifecycle.answer(request, Answer.WHOLE, 5.0)
     assert not router.lifecycle._open
+
+
+def test_an_attempt_is_waited_for_until_its_requests_deadline_at_most(router):
+    router.now = 700.0
+    request = router.lifecycle.take("r1", Effect.SAFE, WINDOW, 1000.0, 1, router.now)
+    assert router.choose(request).deadline == 1000.0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -227,3 +227,13 @@
         _, (part,), _ = bench.query()
         [repeat] = of(io.Send, bench.end(part, 0, Outcome.UNCONNECTED))
         assert repeat.leave_within == 0.0
+
+
+def test_rule_1_a_server_is_told_no_longer_wait_than_the_client_has_left():
+    """Where late answers earn nothing, the wait lasted to the aim, past a deadline before it."""
+    look = io.QueryClass(aim=1000.0, give_up=4000.0, worth=1.0)
+    bench = Bench(settings(look))
+    bench.teach()
+    _, _, actions = bench.query(time_left=100.0)
+    [send] = of(io.Send, actions)
+    assert send.time_out <= 100.0
