Starts of a first list are dated anew as younger ones are told; two nodes have to agree

Change: each younger start that is told dates the older ones better; the second largest offset counts, so one node with a wrong clock dates no other. The lifecycle finds attempts by sub-request. Tests: dating anew, one clock ahead, a restart never dated back, discovery's lists with clocks an hour apart.

--- a/tansycrank/lifecycle.py
+++ b/tansycrank/lifecycle.py
@@ -143,7 +143,7 @@
     window: float
     deadline: float
     state: RequestState = RequestState.OPEN
-    attempts: list[Attempt] = field(default_factory=list)
+    attempts: dict[Hashable, list[Attempt]] = field(default_factory=dict)  # by sub-request, in order
     answered: set[Hashable] = field(default_factory=set)  # sub-requests that have their answer
     history: deque[str] = field(default_factory=lambda: deque(maxlen=HISTORY))
 
@@ -155,11 +155,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether any of its attempts may have run."""
-        return any(attempt.may_have_run for attempt in self.attempts)
-
-    def of(self, sub_request: Hashable) -> list[Attempt]:
-        """The attempts of one sub-request, in order."""
-        return [attempt for attempt in self.attempts if attempt.sub_request == sub_request]
+        return any(attempt.may_have_run for attempts in self.attempts.values() for attempt in attempts)
 
     def note(self, now: float, event: str) -> None:
         """Keep this for the case of a violation."""
@@ -275,7 +271,7 @@
             if invariant := _BROKEN_BY_CHOOSING.get(reason):
                 self._violate(invariant, f"chosen for {endpoint}: {reason.value}", request, now)
             raise NotAllowed(reason)
-        request.attempts.append(attempt)
+        request.attempts.setdefault(sub_request, []).append(attempt)
         request.note(now, f"{sub_request}: chosen for {endpoint}")
         return attempt
 
@@ -336,7 +332,7 @@
 
     @staticmethod
     def _others(attempt: Attempt) -> list[Attempt]:
-        return [one for one in attempt.request.of(attempt.sub_request) if one is not attempt]
+        return [one for one in attempt.request.attempts.get(attempt.sub_request, ()) if one is not attempt]
 
     def _is_repeat(self, attempt: Attempt) -> bool:
         """Whether another attempt of the same sub-request has left this process before."""
--- a/tansycrank/platform/names.py
+++ b/tansycrank/platform/names.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from tansycrank import interface as io
 from tansycrank.platform.settings import Entry, Listing
 from tansycrank.start_times import FIRST, LONG_AGO, Start, StartTimes
@@ -23,6 +25,7 @@
         self._zones = {zone: index for index, zone in enumerate(zones)}
         self._numbers: dict[str, int] = {}
         self._gone: dict[str, float] = {}  # when it went, ms
+        self._listed: dict[str, io.Listed] = {}  # as last told to the policy
         self._last = 0
         self._starts = StartTimes()
         self.version = -1
@@ -30,6 +33,11 @@
     def __len__(self) -> int:
         return len(self._numbers)
 
+    def _dated(self, id: str, start: Start) -> io.Listed:
+        """A node that was not told of now, with a start that is known better."""
+        self._listed[id] = replace(self._listed[id], came_up=start.at)
+        return self._listed[id]
+
     def unchanged(self, now: float) -> None:
         """Discovery says on its watch that nothing changed; `now` is ms of the reactor's clock."""
         self._starts.heard(now)
@@ -55,7 +63,10 @@
         started = {entry.id: entry.started_ms for entry in entries if entry.state != "terminated"}
         starts = self._starts.listed(started, now, cached=kind is io.ListKind.CACHED)
         places = {}
-        listed = []
+        listed = [
+            self._dated(id, start) for id, start in starts.items()
+            if id not in started and id not in self._gone
+        ]
         for entry in entries:
             status = STATES.get(entry.state, UNKNOWN)
             if entry.id not in self._numbers:
@@ -72,12 +83,12 @@
                 places[number] = entry.addr
             zone = self._zones.get(entry.zone, len(self._zones))
             start = starts.get(entry.id, NO_START)
-            listed.append(
-                io.Listed(number, entry.cell, zone, status, start.at, entry.weight, start.incarnation)
-            )
+            told = io.Listed(number, entry.cell, zone, status, start.at, entry.weight, start.incarnation)
+            self._listed[entry.id] = told
+            listed.append(told)
         forgotten = [id for id, went in self._gone.items() if now - went >= FORGET]
         for id in forgotten:
-            del self._gone[id], self._numbers[id]
+            del self._gone[id], self._numbers[id], self._listed[id]
         self._starts.forget(forgotten)
         self.version = listing.version
         return io.ServerList(kind, tuple(listed)), places
--- a/tansycrank/roster/view.py
+++ b/tansycrank/roster/view.py
@@ -255,7 +255,10 @@
     def _list(self, kind: io.ListKind, nodes: Iterable[NodeLine], now: float) -> io.ServerList:
         nodes = list(nodes)
         starts = self._starts.listed({node.id: node.started for node in nodes}, now)
-        return io.ServerList(kind, tuple(self._listed(node, starts[node.id]) for node in nodes))
+        told = {node.id for node in nodes}
+        known_better = [self.nodes[id] for id in starts if id not in told and id in self.nodes]
+        listed = [self._listed(node, starts[node.id]) for node in (*known_better, *nodes)]
+        return io.ServerList(kind, tuple(listed))
 
     def _listed(self, node: NodeLine, start: Start) -> io.Listed:
         zone = self._zones.index(node.zone) if node.zone in self._zones else len(self._zones)
