Platform: client and node connections, pool and HTTP server in modules of their own

Rename and cut only: links.py (460 lines) becomes sending, node_connection, connection_pool; front.py (440) becomes client_connection and http_server; Link, Pools, Front and Connection are NodeConnection, ConnectionPool, HttpServer, ClientConnection, after the field's names. No behaviour changed: tests/platform passes with the names alone changed.

--- a/tansycrank/lab/soak/seeded_bugs.py
+++ b/tansycrank/lab/soak/seeded_bugs.py
@@ -13,8 +13,8 @@
 from tansycrank import interface as io
 from tansycrank.lifecycle import Answer, Lifecycle
 from tansycrank.platform import daemon
+from tansycrank.platform.client_connection import ClientConnection
 from tansycrank.platform.coordinator import Coordinator
-from tansycrank.platform.front import Connection
 
 
 def wall_clock() -> None:
@@ -37,9 +37,9 @@
         conclude(self, query, kind, missing, hold_off)
         part = query.parts[0]
         if part.attempts:
-            server = next(iter(self.pools.nodes))
+            server = next(iter(self.pool.nodes))
             self.loop.reactor.callLater(
-                0.8, self.pools.send, part.name, server, part.shard, query.request.text, 500.0,
+                0.8, self.pool.send, part.name, server, part.shard, query.request.text, 500.0,
                 lambda *_: None, _Unchecked(),
             )
 
@@ -99,14 +99,14 @@
 
 def waits_for_halves() -> None:
     """A request that does not go on is waited for without end."""
-    Connection.check = lambda self, now: None
+    ClientConnection.check = lambda self, now: None
 
 
 def drops_at_the_end() -> None:
     """Connections close at SIGTERM, whatever is owed on them."""
 
     def drop(self: daemon.Daemon) -> None:
-        for connection in list(self.front.connections):
+        for connection in list(self.server.connections):
             connection.close("leaving")
         self._stop()
 
--- a/tansycrank/platform/front.py
+++ b/tansycrank/platform/client_connection.py
@@ -1,37 +1,36 @@
-"""HTTP/1.1 for clients: connections with bounds, requests in order, exactly one answer each.
+"""One client's HTTP/1.1 connection: requests in order, exactly one answer each.
 
 Parsing is llhttp's (`httptools`), in its strict form.
 """
 
 from __future__ import annotations
 
-from collections import Counter, deque
-from collections.abc import Callable
+from collections import deque
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import httptools
 from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 from zope.interface import implementer
 
 from tansycrank.platform import request as codec
-from tansycrank.platform.coordinator import Coordinator, Query
+from tansycrank.platform.coordinator import Query
 from tansycrank.platform.request import QueryRequest, Refused
 from tansycrank.platform.settings import (
     IDLE_CLIENT,
     LINGER,
-    LOOKS,
     MAX_BODY,
     MAX_DROPPED,
     MAX_HEAD,
     MAX_PIPELINE,
     REQUEST_WITHIN,
-    RETRY_ACCEPT,
-    SILENT,
     UNREAD,
-    Settings,
 )
 
+if TYPE_CHECKING:
+    from tansycrank.platform.http_server import HttpServer
+
 READY, HEALTHY = b"/-/ready", b"/-/healthy"
 ONCE_ONLY = (b"host", b"idempotency-key")  # and all of x-: which of two would count?
 
@@ -48,13 +47,13 @@
 
 
 @implementer(IPushProducer)
-class Connection(Protocol):
+class ClientConnection(Protocol):
     """One client's connection."""
 
-    def __init__(self, front: Front) -> None:
-        self.front = front
+    def __init__(self, server: HttpServer) -> None:
+        self.server = server
         self.slots: deque[Slot] = deque()
-        self.since = front.now  # s: when what it is being waited for began
+        self.since = server.now  # s: when what it is being waited for began
         self.dropped = 0
         self.spoke = self.in_message = self.closing = False
         self.unread_since: float | None = None
@@ -78,8 +77,8 @@
         self.transport.registerProducer(self, True)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        if self.front.settling:
-            self.front.read_on(self)
+        if self.server.settling:
+            self.server.read_on(self)
         if self.closing or self.fault is not None:
             self.dropped += len(data)
             if self.dropped > MAX_DROPPED:  # danger: reading on what is of no use, 60 MB at full speed
@@ -113,8 +112,8 @@
     # --- what the parser found --------------------------------------------------------
 
     def on_message_begin(self) -> None:
-        self.in_message, self.since = True, self.front.now
-        self.front.unused.pop(self, None)
+        self.in_message, self.since = True, self.server.now
+        self.server.unused.pop(self, None)
 
     def on_url(self, url: bytes) -> None:
         self.url += url
@@ -164,7 +163,7 @@
     # --- requests and answers ---------------------------------------------------------
 
     def _dispatch(self, slot: Slot) -> None:
-        front = self.front
+        server = self.server
         try:
             url = httptools.parse_url(self.url)
         except httptools.HttpParserInvalidURLError as problem:
@@ -173,18 +172,18 @@
         if path in (READY, HEALTHY):
             if method not in (b"GET", b"HEAD"):
                 raise Refused(405, "GET")
-            status = 200 if path == HEALTHY or front.ready else 503
+            status = 200 if path == HEALTHY or server.ready else 503
             slot.answer = (status, b"" if method == b"HEAD" else b"{}", ())
             return
         slot.asked = True
         if method != b"POST":
             raise Refused(405, "a query is a POST")
-        settings = front.settings
+        settings = server.settings
         slot.told = codec.read(
             path, url.query or b"", self.headers, bytes(self.body), settings.classes, settings.module.shards
         )
-        self.read_at = front.now
-        front.settle(self)
+        self.read_at = server.now
+        server.settle(self)
 
     def admit(self) -> None:
         """What was read is taken: its client is still there."""
@@ -196,18 +195,19 @@
                 self.flush()
 
             try:
-                slot.query = self.front.coordinator.take(told, reply, (self.front.now - self.read_at) * 1000)
+                waited = (self.server.now - self.read_at) * 1000
+                slot.query = self.server.coordinator.take(told, reply, waited)
             except Refused as refused:
                 self._unusable(slot, refused)
             except Exception as error:  # danger: one query's fault, and those read with it are never taken
-                self.front.log("a query could not be taken", error=repr(error), traceback=True)
+                self.server.log("a query could not be taken", error=repr(error), traceback=True)
                 self._unusable(slot, Refused(503, "it could not be taken"))
         self.flush()
 
     def _unusable(self, slot: Slot, refused: Refused) -> None:
-        self.front.counts["unusable"] += 1
-        self.front.latest = str(refused)
-        more = codec.wait(self.front.hold_off) if refused.status == 503 else ()
+        self.server.counts["unusable"] += 1
+        self.server.latest = str(refused)
+        more = codec.wait(self.server.hold_off) if refused.status == 503 else ()
         slot.answer = (refused.status, codec.words(str(refused)), more)
 
     def _give_back(self) -> None:
@@ -217,7 +217,7 @@
                 slot.told = None
                 self._unusable(slot, Refused(503, "its connection cannot be read any more"))
             elif slot.query is not None:
-                self.front.coordinator.give_back(slot.query)
+                self.server.coordinator.give_back(slot.query)
         self.flush()
 
     def flush(self) -> None:
@@ -225,20 +225,20 @@
         while self.slots and self.slots[0].answer is not None and not self.closing:
             slot = self.slots.popleft()
             last = not self.slots and not self.in_message
-            close = not slot.keep or self.front.draining and last
+            close = not slot.keep or self.server.draining and last
             status, body, more = slot.answer
-            self.since = self.front.now
+            self.since = self.server.now
             self.transport.write(codec.reply(status, body, close, *more))
             if close and self.fault is not None:
                 self._linger()
             elif close:
                 self.close("asked for" if not slot.keep else "leaving")
             elif last and slot.asked:
-                self.front.rests(self)
+                self.server.rests(self)
 
     def _refuse(self, status: int, words: str) -> None:
         """The connection cannot go on: an error and a close."""
-        self.front.counts["unreadable"] += 1
+        self.server.counts["unreadable"] += 1
         self.fault = (status, words)  # danger: what follows would be refused anew, a place in line each time
         if self.slots:  # answers before it are still owed; the close follows the last of them
             self.slots.append(Slot(False, (status, codec.words(words), ())))
@@ -252,7 +252,7 @@
         self._ends("unreadable")
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
-        self.front.reactor.callLater(LINGER, self.transport.abortConnection)
+        self.server.reactor.callLater(LINGER, self.transport.abortConnection)
 
     def close(self, reason: str) -> None:
         """Close once what was written has left."""
@@ -274,10 +274,10 @@
     def _ends(self, reason: str) -> None:
         """This process ends the connection: none of its requests may be open then."""
         self.closing = True
-        front = self.front
-        front.closed[reason] += 1
+        server = self.server
+        server.closed[reason] += 1
         owed = [slot.query.life for slot in self.slots if slot.query is not None]
-        front.coordinator.lifecycle.close_connection(owed, reason, front.coordinator.loop.now)
+        server.coordinator.lifecycle.close_connection(owed, reason, server.coordinator.loop.now)
 
     def check(self, now: float) -> None:
         """Close what has waited too long; called now and then."""
@@ -298,7 +298,7 @@
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Its answers are not being read: no further requests."""
-        self.unread_since = self.front.now
+        self.unread_since = self.server.now
 
     def resumeProducing(self) -> None:  # noqa: N802
         self.unread_since = None
@@ -311,140 +311,11 @@
 
     def connectionLost(self, reason=connectionDone) -> None:  # noqa: N802
         self.closing = True
-        self.front.connections.pop(self, None)
-        self.front.unused.pop(self, None)
-        self.front.settling.pop(self, None)
+        self.server.connections.pop(self, None)
+        self.server.unused.pop(self, None)
+        self.server.settling.pop(self, None)
         for slot in self.slots:
             if slot.query is not None:
-                self.front.coordinator.abandon(slot.query)
+                self.server.coordinator.abandon(slot.query)
         self.slots.clear()
         self.parser = None  # it holds this connection's methods: a ring that only the collector would find
-
-
-class Front(Factory):
-    """All connections of clients, at most `max_clients`."""
-
-    noisy = False
-
-    def __init__(
-        self, reactor, settings: Settings, coordinator: Coordinator, log: Callable[..., None]
-    ) -> None:
-        self.reactor, self.settings, self.coordinator, self.log = reactor, settings, coordinator, log
-        self.connections: dict[Connection, None] = {}  # oldest first
-        self.unused: dict[Connection, None] = {}  # after a query, no other open; longest unused first
-        self.settling: dict[Connection, int] = {}  # with requests read and not taken: looks at it still due
-        self._look = None
-        self.ready = self.draining = False
-        self.counts = {"accepted": 0, "unusable": 0, "unreadable": 0, "evicted": 0, "paused": 0}
-        self.closed: Counter[str] = Counter()  # connections that this process closed, by reason
-        self.latest = ""  # why a request could not be used
-        self.port = None  # the listening port, which a full router pauses
-        module = settings.module
-        self.hold_off = module.hold_off_max if module.can_hold_off else 0.0
-
-    @property
-    def now(self) -> float:
-        """Seconds of the reactor's clock."""
-        return self.reactor.seconds()
-
-    def buildProtocol(self, addr) -> Connection:  # noqa: N802
-        connection = Connection(self)
-        self.connections[connection] = None
-        self.counts["accepted"] += 1
-        if self._full():
-            self._pause()
-        return connection
-
-    def settle(self, connection: Connection) -> None:
-        """Its request is taken once all sockets were looked at and its own had nothing more to read.
-
-        Danger: a request and its client's leaving lie in the system together, and the reactor reads them in
-        two turns: its parts went out in between.
-        """
-        self.settling[connection] = LOOKS
-        if self._look is None:
-            self._look = self.reactor.callLater(0, self._settled)
-
-    def read_on(self, connection: Connection) -> None:
-        """More came on it: what lies behind that is not known yet."""
-        if connection in self.settling:
-            self.settling[connection] = LOOKS
-
-    def _settled(self) -> None:
-        self._look = None
-        for connection in list(self.settling):
-            if connection not in self.settling:  # it went with one before it
-                continue
-            self.settling[connection] -= 1
-            if not self.settling[connection]:
-                del self.settling[connection]
-                connection.admit()
-        if self.settling and self._look is None:
-            self._look = self.reactor.callLater(0, self._settled)
-
-    def _full(self) -> bool:
-        """Whether all are held that may be, and none of them can be closed for another."""
-        return len(self.connections) >= self.settings.max_clients and not self._make_room()
-
-    def _make_room(self) -> bool:
-        """Close the connection nobody uses: one that was silent too long, else the one idle longest.
-
-        Danger: a connection whose first request is on its way, or not read yet, closed for another.
-        """
-        now = self.now
-        unused = [one for one in self.connections if one.idle and (one.spoke or now - one.since >= SILENT)]
-        victim = min(unused, key=lambda one: (one.spoke, one.since), default=None)
-        if victim is None:
-            return False
-        self.counts["evicted"] += 1
-        del self.connections[victim]
-        victim.evict()
-        return True
-
-    def rests(self, connection: Connection) -> None:
-        """A connection has its answer. Those unused longest close, so that others find room.
-
-        Danger: clients that ask once and hold their connection, until no other can get one.
-        """
-        self.unused[connection] = None
-        if len(self.unused) > self.settings.max_unused:
-            longest = next(iter(self.unused))
-            del self.unused[longest]
-            longest.close("unused longest")
-
-    def _pause(self) -> None:
-        """Take no more connections for now; they wait in the system's queue."""
-        if self.port is not None and not self.draining:
-            self.counts["paused"] += 1
-            self.port.stopReading()
-            self.reactor.callLater(RETRY_ACCEPT, self._resume)
-
-    def _resume(self) -> None:
-        if self.draining:
-            return
-        if self._full():
-            self.reactor.callLater(RETRY_ACCEPT, self._resume)
-        else:
-            self.port.startReading()
-
-    def sweep(self) -> None:
-        """Let each connection look at its clock."""
-        now = self.now
-        for connection in list(self.connections):
-            connection.check(now)
-
-    def accept_rest(self) -> bool:
-        """Accept what waits in the system's queue, as far as there is room; whether that was all."""
-        room = self.settings.max_clients - len(self.connections)
-        before, self.port.numberAccepts = self.counts["accepted"], room
-        if room > 0:
-            self.port.doRead()
-        return room > 0 and self.counts["accepted"] - before < room
-
-    def close_idle(self) -> None:
-        """Close what no request is open on; a new connection may have one on its way."""
-        now = self.now
-        for connection in list(self.connections):
-            if connection.idle and (connection.spoke or now - connection.since >= SILENT):
-                connection.close("leaving")
-
--- a/tansycrank/platform/coordinator.py
+++ b/tansycrank/platform/coordinator.py
@@ -12,8 +12,9 @@
 from tansycrank import interface as io
 from tansycrank.lifecycle import Answer, Lifecycle, NotAllowed, Request, Violation
 from tansycrank.platform import request as codec
-from tansycrank.platform.links import Pools, Sending
+from tansycrank.platform.connection_pool import ConnectionPool
 from tansycrank.platform.request import QueryRequest, Refused
+from tansycrank.platform.sending import Sending
 from tansycrank.router.steps import StepLoop
 
 Reply = Callable[[int, bytes, tuple[bytes, ...]], None]  # status, body, header lines
@@ -50,10 +51,10 @@
     """Holds at most the queries and parts that the settings' open_cap allows."""
 
     def __init__(
-        self, reactor, settings: io.Settings, seed: int, pools: Pools, log: Callable[..., None],
+        self, reactor, settings: io.Settings, seed: int, pool: ConnectionPool, log: Callable[..., None],
         on_watch: Callable[[bool], None], on_fetch: Callable[[], None],
     ) -> None:
-        self.settings, self.pools, self.log = settings, pools, log
+        self.settings, self.pool, self.log = settings, pool, log
         self.lifecycle = Lifecycle(settings, self._violated)
         self.queries: dict[bytes, Query] = {}  # by the client's id
         self._by_number: dict[int, Query] = {}
@@ -71,13 +72,13 @@
             io.Answer: self._answer,
             io.Shed: self._shed,
             io.Fail: self._fail,
-            io.CloseIdle: lambda action: pools.close_idle(action.server),
+            io.CloseIdle: lambda action: pool.close_idle(action.server),
             io.Watch: lambda action: on_watch(action.on),
             io.FetchList: lambda action: on_fetch(),
             io.Note: lambda action: log("note", text=action.text),
         }
         guarded = {kind: partial(self._act, act) for kind, act in acts.items()}
-        self.loop = StepLoop(reactor, settings, seed, guarded, self._broken, pools.flush)
+        self.loop = StepLoop(reactor, settings, seed, guarded, self._broken, pool.flush)
 
     # --- in ---------------------------------------------------------------------------
 
@@ -189,7 +190,7 @@
                 self._forget(part)
 
         time_out = attempt.deadline - began
-        part.attempts.append(self.pools.send(
+        part.attempts.append(self.pool.send(
             part.name, action.server, part.shard, query.request.text, time_out, ended, attempt,
             action.connect_within, query.request.once, action.leave_within,
         ))
@@ -208,7 +209,7 @@
     def _cancel(self, action: io.Cancel) -> None:
         if action.part in self._parts:
             self.counts["cancels"] += 1
-            self.pools.cancel(self._parts[action.part][1].attempts[action.attempt])
+            self.pool.cancel(self._parts[action.part][1].attempts[action.attempt])
 
     def _answer(self, action: io.Answer) -> None:
         query = self._by_number.get(action.query)
@@ -249,7 +250,7 @@
         self.lifecycle.listed(event)
         for entry in event.entries:
             if entry.status is io.Status.DRAINING:
-                self.pools.hold_back(entry.server)
+                self.pool.hold_back(entry.server)
         self.loop.hear(event)
 
     def _violated(self, violation: Violation) -> None:
@@ -266,7 +267,7 @@
     def _withdraw(self, part: Part) -> None:
         """Danger: a part that starts after its query's end, where nodes take no cancels."""
         for sending in part.attempts:
-            self.pools.withdraw(sending)
+            self.pool.withdraw(sending)
 
     def _forget(self, part: Part) -> None:
         if all(sending.ended for sending in part.attempts):
--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -18,10 +18,10 @@
 from tansycrank import clock
 from tansycrank import interface as io
 from tansycrank.platform import settings as configuration
+from tansycrank.platform.connection_pool import ConnectionPool
 from tansycrank.platform.coordinator import Coordinator
 from tansycrank.platform.discovery import Discovery
-from tansycrank.platform.front import Front
-from tansycrank.platform.links import Pools
+from tansycrank.platform.http_server import HttpServer
 from tansycrank.platform.names import Names
 from tansycrank.platform.settings import ConfigError, Listing, Settings
 
@@ -49,7 +49,7 @@
     def __init__(self, reactor, settings: Settings, environ: Mapping[str, str]) -> None:
         self.reactor, self.settings, self.environ = reactor, settings, environ
         self.names = Names(settings.zones)
-        self.pools = Pools(
+        self.pool = ConnectionPool(
             reactor, settings.streams, settings.module.call_parts, settings.connect_timeout, settings.idle,
             settings.max_links, log, settings.module.drain_grace,
         )
@@ -58,10 +58,10 @@
             lambda: self.names.unchanged(self.coordinator.loop.now), self.failed,
         )
         self.coordinator = Coordinator(
-            reactor, settings.module, settings.seed, self.pools, log, self.discovery.set_watch,
+            reactor, settings.module, settings.seed, self.pool, log, self.discovery.set_watch,
             self.discovery.fetch,
         )
-        self.front = Front(reactor, settings, self.coordinator, log)
+        self.server = HttpServer(reactor, settings, self.coordinator, log)
         self._swept = 0.0
         self.discovery_failures = 0
         self.stopping = self.stopped = self._closed = self._doubted = False
@@ -91,12 +91,12 @@
             return
         host, port = self.settings.listen
         try:
-            self.front.port = self.reactor.listenTCP(port, self.front, backlog=1024, interface=host)
+            self.server.port = self.reactor.listenTCP(port, self.server, backlog=1024, interface=host)
         except CannotListenError as problem:  # danger: the process before is not gone yet, this one deaf
             log("the address cannot be listened on yet", host=host, port=port, problem=str(problem))
             self._again = self.reactor.callLater(LISTEN_AGAIN, self._listen)
             return
-        self.front.port.numberAccepts = configuration.ACCEPTS
+        self.server.port.numberAccepts = configuration.ACCEPTS
         log("listening", host=host, port=port)
         if self._heard:
             self._ready()
@@ -108,10 +108,10 @@
         agent's, nobody listens, and what comes is refused by the system.
         """
         self._heard = True
-        if self.front.ready or self.stopping:
+        if self.server.ready or self.stopping:
             return
-        if self.front.port is not None:
-            self.front.ready = True
+        if self.server.port is not None:
+            self.server.ready = True
             log("ready", nodes=len(self.names), version=self.names.version)
         elif self._again is None:
             self._listen()  # which comes back here
@@ -149,9 +149,9 @@
         for server, place in places.items():
             try:
                 if place:
-                    self.pools.place(server, *configuration.address(place, "addr"))
+                    self.pool.place(server, *configuration.address(place, "addr"))
                 else:
-                    self.pools.forget(server)
+                    self.pool.forget(server)
             except ConfigError as problem:
                 unusable.append(str(problem))
         if unusable:
@@ -179,26 +179,26 @@
         """
         if self.stopping:
             return
-        self.stopping, self.front.ready = True, False
+        self.stopping, self.server.ready = True, False
         self.coordinator.until = self.coordinator.loop.now + self.settings.stop_within
         log("stopping", open=len(self.coordinator.queries), within_ms=self.settings.stop_within)
         self.reactor.callLater(self.settings.stop_taking / 1000, self._stop_taking)
         self.reactor.callLater(self.settings.stop_within / 1000, self._give_up)
 
     def _stop_taking(self) -> None:
-        self.front.draining = True
+        self.server.draining = True
         self._leave()
 
     def _leave(self) -> None:
         """Danger: what the system accepted and nobody read is reset when the port closes, requests too."""
         if self.stopped:
             return
-        self.front.close_idle()
-        if not self._closed and (self.front.port is None or self.front.accept_rest()):
+        self.server.close_idle()
+        if not self._closed and (self.server.port is None or self.server.accept_rest()):
             self._closed = True
-            if self.front.port is not None:
-                self.front.port.stopListening()
-        if self.coordinator.queries or self.front.connections or not self._closed:
+            if self.server.port is not None:
+                self.server.port.stopListening()
+        if self.coordinator.queries or self.server.connections or not self._closed:
             self.reactor.callLater(LEAVE_EVERY, self._leave)
         else:
             self._stop()
@@ -216,7 +216,7 @@
             log("stopped", **self.coordinator.counts, **lifecycle.figures())
             self.coordinator.loop.stop()
             self.discovery.stop()
-            self.pools.close()
+            self.pool.close()
             self.reactor.stop()
 
     # --- now and then -----------------------------------------------------------------
@@ -232,8 +232,8 @@
             # Danger: what came while this process stood still is not read yet, and who sent it seems silent.
             self._stood = late > LATE and not self._stood
             if not self._stood:
-                self.pools.sweep()
-                self.front.sweep()
+                self.pool.sweep()
+                self.server.sweep()
         except Exception as error:  # danger: no further look, for good
             log("a look at what waits failed", error=repr(error), traceback=True)
 
@@ -241,12 +241,12 @@
         usage = resource.getrusage(resource.RUSAGE_SELF)
         loop = self.coordinator.loop
         log(
-            "state", **self.coordinator.counts, **self.front.counts, outcomes=self.coordinator.outcomes,
-            **self.coordinator.lifecycle.figures(), closed=self.front.closed,
-            open=len(self.coordinator.queries), clients=len(self.front.connections), links=self.pools.count,
-            links_opened=self.pools.opened, nodes=len(self.names), steps=loop.steps,
+            "state", **self.coordinator.counts, **self.server.counts, outcomes=self.coordinator.outcomes,
+            **self.coordinator.lifecycle.figures(), closed=self.server.closed,
+            open=len(self.coordinator.queries), clients=len(self.server.connections), links=self.pool.count,
+            links_opened=self.pool.opened, nodes=len(self.names), steps=loop.steps,
             discovery_failures=self.discovery_failures,
-            unusable_last=self.front.latest, late_ms=round(loop.latest, 1),
+            unusable_last=self.server.latest, late_ms=round(loop.latest, 1),
             cpu_s=round(usage.ru_utime + usage.ru_stime, 2), rss_mb=round(usage.ru_maxrss / 1024, 1),
         )
         loop.latest = 0.0
--- a/tests/platform/live.py
+++ b/tests/platform/live.py
@@ -190,8 +190,8 @@
         self.daemon = Daemon(self.reactor, configuration.parse(raw or config(), {}), environ or {})
         self.daemon.start()
         self.port = Port()
-        if self.daemon.front.port is not None:
-            self.daemon.front.port = self.port
+        if self.daemon.server.port is not None:
+            self.daemon.server.port = self.port
         self.seen = 0
         self.discovery, self.nodes = [], []
         self.run(0)
@@ -205,7 +205,7 @@
         self.seen = len(self.reactor.tcpClients)
 
     def client(self):
-        protocol = self.daemon.front.buildProtocol(None)
+        protocol = self.daemon.server.buildProtocol(None)
         transport = Transport(protocol)
         protocol.makeConnection(transport)
         return protocol, transport
--- a/tests/platform/test_belief.py
+++ b/tests/platform/test_belief.py
@@ -9,7 +9,7 @@
 def out(live):
     """Parts out by node: as the module believes, and as the links have them."""
     believed = {s.id: s.out for s in live.daemon.coordinator.loop.router.servers.values() if s.out}
-    pools = live.daemon.pools
+    pools = live.daemon.pool
     held = {n.server: sum(link.load for link in n.links) for n in pools.nodes.values()}
     return believed, {server: load for server, load in held.items() if load}
 
@@ -71,7 +71,7 @@
     assert coordinator.counts["taken"] == 1500
     assert not coordinator.queries and not coordinator._parts and not coordinator._by_number
     assert not router.queries and not router.numbers and not router.parts and not router.out
-    assert not live.daemon.front.connections and not live.daemon.front.unused
+    assert not live.daemon.server.connections and not live.daemon.server.unused
     assert len(router.servers) <= 6 and len(live.daemon.names) < 100
-    assert len(live.daemon.pools.nodes) == 3 and live.daemon.pools.count <= 6
+    assert len(live.daemon.pool.nodes) == 3 and live.daemon.pool.count <= 6
     assert len(router.agenda) < 100 and len(router.taken._entries) < 100
--- a/tests/platform/test_endings.py
+++ b/tests/platform/test_endings.py
@@ -299,15 +299,16 @@
         daemon = self.live.daemon
         coordinator, router = daemon.coordinator, daemon.coordinator.loop.router
         assert not coordinator.queries and not coordinator._parts and not coordinator._by_number
-        assert coordinator.held == 0 and not daemon.front.settling
+        assert coordinator.held == 0 and not daemon.server.settling
         assert not coordinator.lifecycle.violated and not coordinator.lifecycle._open
         if not daemon.stopped:
             assert sum(coordinator.outcomes.values()) == coordinator.counts["sends"]
             assert not router.queries and not router.parts and not router.out
-            assert not any(link.out or link.going or link.words for link in daemon.pools.links if link.up)
-        assert len(daemon.pools.links) <= daemon.settings.max_links
+            assert not any(link.out or link.going or link.words for link in daemon.pool.links if link.up)
+        assert len(daemon.pool.links) <= daemon.settings.max_links
         left = {getattr(call.func, "__qualname__", "") for call in self.live.reactor.getDelayedCalls()}
-        assert not {name for name in left if name.startswith(("Pools.", "Sending.", "Link.", "Connection."))}
+        ours = "ConnectionPool.", "Sending.", "NodeConnection.", "ClientConnection."
+        assert not {name for name in left if name.startswith(ours)}
 
 
 limits.register_profile("endings", parent=limits.get_profile("same-every-time"), max_examples=120,
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -211,7 +211,7 @@
     assert live.port.reading and [transport.over for _, transport in young].count(True) == 1
     for _ in range(20):
         live.client()
-    assert len(live.daemon.front.connections) <= live.daemon.settings.max_clients
+    assert len(live.daemon.server.connections) <= live.daemon.settings.max_clients
     assert not client[1].over
     peer, id, _ = live.sent()[0]  # a copy may be out by now
     peer.say(answer(id))
@@ -432,7 +432,7 @@
 
 def test_nothing_behind_the_last_answer_of_a_connection_is_taken_or_answered(live):
     """Danger: read with the request before it, sent on, and its answer cannot leave any more."""
-    live.daemon.front.draining = True
+    live.daemon.server.draining = True
     probe = b"GET /-/healthy HTTP/1.1\r\nHost: a\r\n\r\n"
     for behind in (post(id="behind"), b"\x16\x03\x01\r\n\r\n"):
         transport = live.ask(probe + behind)
@@ -495,6 +495,6 @@
     live = Live()
     live.discovery[0].refuse()
     live.run(0.25)
-    assert not live.daemon.front.ready
+    assert not live.daemon.server.ready
     live.run(0.1)
-    assert live.daemon.front.ready and len(live.reactor.tcpServers) == 1
+    assert live.daemon.server.ready and len(live.reactor.tcpServers) == 1
--- a/tests/platform/test_node_links.py
+++ b/tests/platform/test_node_links.py
@@ -9,33 +9,33 @@
 
 from tansycrank.interface import Outcome
 from tansycrank.platform import frames
-from tansycrank.platform.links import Pools
+from tansycrank.platform.connection_pool import ConnectionPool
 
 VALUE = "0123456789abcdef"
 
 
 class Node:
-    """Pools with one node, whose end of the links is played."""
+    """ConnectionPool with one node, whose end of the links is played."""
 
     def __init__(self, streams=8, call_parts=4, max_links=8):
         self.reactor = MemoryReactorClock()
         self.log = []
-        self.pools = Pools(
+        self.pool = ConnectionPool(
             self.reactor, streams, call_parts, 250.0, 10_000.0, max_links, lambda *a, **k: self.log.append(a)
         )
-        self.pools.place(1, "127.0.0.1", 7070)
+        self.pool.place(1, "127.0.0.1", 7070)
         self.lives = Lives()
         self.ends = {}
 
     def send(self, *ids, time_out=1000.0, server=1, connect_within=0.0, leave_within=0.0):
         sendings = [
-            self.pools.send(
+            self.pool.send(
                 id.encode(), server, 0, b"text", time_out, self.hear(id),
                 self.lives.attempt(self.reactor.seconds() * 1000, server, time_out, leave_within),
                 connect_within, b"", leave_within
             ) for id in ids
         ]
-        self.pools.flush()
+        self.pool.flush()
         return sendings
 
     def hear(self, id):
@@ -114,7 +114,7 @@
     node = Node()
     node.up("a.1", "a.2").transport.end()
     assert outcomes(node) == {"a.1": [Outcome.BROKEN_OFF], "a.2": [Outcome.BROKEN_OFF]}
-    assert node.pools.count == 0
+    assert node.pool.count == 0
 
 
 def test_nothing_in_time_is_a_time_out_and_its_late_answer_is_nobodys():
@@ -151,7 +151,7 @@
     [sending] = node.send("a.1")
     peer = node.peers[0].accept()
     node.reactor.advance(waited)
-    node.pools.cancel(sending)
+    node.pool.cancel(sending)
     assert peer.transport.over == over
     node.send("b.1")
     assert len(node.peers) == 1 + over
@@ -164,14 +164,14 @@
     node.reactor.advance(0.2)
     peer.say(answer("a.2"))
     node.reactor.advance(0.2)
-    node.pools.cancel(first)
+    node.pool.cancel(first)
     assert not peer.transport.over
 
 
 def test_a_cancel_before_the_connection_is_up_sends_nothing():
     node = Node()
     first, _ = node.send("a.1", "a.2")
-    node.pools.cancel(first)
+    node.pool.cancel(first)
     peer = node.peers[0].accept()
     assert [id for id, *_ in peer.calls()] == ["a.2"]
     assert outcomes(node) == {"a.1": [Outcome.NOT_SENT]}
@@ -182,7 +182,7 @@
     at = len(node.peers)
     [sending] = node.send("a.1")
     peer = node.peers[at].accept()
-    node.pools.cancel(sending)
+    node.pool.cancel(sending)
     peer.calls()
     assert peer.given_up == ["a.1"] and outcomes(node) == {"a.1": [Outcome.CANCELLED]}
 
@@ -215,7 +215,7 @@
     peer = node.up("a.1")
     peer.say(answer("a.1")[:-3])
     node.reactor.advance(0.6)
-    node.pools.sweep()
+    node.pool.sweep()
     assert outcomes(node) == {"a.1": [Outcome.BROKEN_OFF]} and peer.transport.over
 
 
@@ -257,17 +257,17 @@
     peer = node.up("a.1")
     peer.say(answer("a.1"))
     node.reactor.advance(7.9)
-    node.pools.sweep()
+    node.pool.sweep()
     assert not peer.transport.over
     node.reactor.advance(0.2)
-    node.pools.sweep()
+    node.pool.sweep()
     assert peer.transport.over
 
 
 def test_a_node_that_is_gone_finishes_what_it_has_and_gets_nothing():
     node = Node()
     peer = node.up("a.1")
-    node.pools.forget(1)
+    node.pool.forget(1)
     node.send("b.1")
     node.reactor.advance(0)
     assert outcomes(node) == {"b.1": [Outcome.UNCONNECTED]}
@@ -278,7 +278,7 @@
 def test_a_node_that_moved_is_called_at_its_new_place():
     node = Node()
     node.up("a.1")
-    node.pools.place(1, "127.0.0.2", 7070)
+    node.pool.place(1, "127.0.0.2", 7070)
     node.send("b.1")
     assert node.peers[-1].host == "127.0.0.2"
 
@@ -363,7 +363,7 @@
     """Danger: told to go, and the connection comes up 250 ms later with the part."""
     node = Node()
     node.send("a.1")
-    node.pools.hold_back(1)
+    node.pool.hold_back(1)
     assert outcomes(node) == {"a.1": [Outcome.NOT_SENT]}
     assert not node.peers[0].accept().calls()
 
@@ -371,8 +371,8 @@
 def test_a_node_that_is_gone_gets_nothing_that_waits_for_its_connection():
     node = Node()
     node.send("a.1")
-    node.pools.forget(1)
-    assert outcomes(node) == {"a.1": [Outcome.NOT_SENT]} and node.pools.count == 0
+    node.pool.forget(1)
+    assert outcomes(node) == {"a.1": [Outcome.NOT_SENT]} and node.pool.count == 0
 
 
 def test_a_frame_waits_until_the_one_before_has_gone_and_can_be_taken_back():
@@ -380,7 +380,7 @@
     peer = stuck(node, "a.1")
     b, c = node.send("b.1")[0], node.send("c.1")[0]
     assert [id for id, *_ in peer.calls()] == ["a.1"]
-    node.pools.withdraw(b)
+    node.pool.withdraw(b)
     assert outcomes(node)["b.1"] == [Outcome.NOT_SENT] and not c.ended
     peer.transport.stuck = False
     peer.protocol.resumeProducing()
@@ -394,11 +394,11 @@
     peer = stuck(node, "a.1", "a.2")
     sending = peer.protocol.out[b"a.1"]
     if end == "withdraw":
-        node.pools.withdraw(sending)
+        node.pool.withdraw(sending)
     elif end == "cancel":
-        node.pools.cancel(sending)
+        node.pool.cancel(sending)
     elif end == "drain":
-        node.pools.hold_back(1)
+        node.pool.hold_back(1)
     else:
         node.reactor.advance(1.0)
     assert end == "time out" or not peer.transport.over
@@ -412,7 +412,7 @@
 def test_a_frame_that_goes_after_all_keeps_its_link():
     node = Node()
     peer = stuck(node, "a.1", "a.2")
-    node.pools.withdraw(peer.protocol.out[b"a.1"])
+    node.pool.withdraw(peer.protocol.out[b"a.1"])
     peer.transport.stuck = False
     peer.protocol.resumeProducing()
     node.reactor.advance(0.2)
@@ -438,7 +438,7 @@
     """Danger: the late answer to a request that was given up, served for another of the same id."""
     node = Node()
     peer = node.up("a.1", "b.1")
-    node.pools.cancel(peer.protocol.out[b"a.1"])
+    node.pool.cancel(peer.protocol.out[b"a.1"])
     peer.say(answer("b.1"))
     node.send("a.1")
     assert len(node.peers) == 2
