--- a/tansycrank/cli.py
+++ b/tansycrank/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import sys
 import time
 from pathlib import Path
@@ -267,6 +268,7 @@
 
     if bug and bug not in BUGS:
         raise click.BadParameter(f"{bug!r}; there are: {', '.join(BUGS)}", param_hint="--bug")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # so that its processes end with it
     reports = []
     for seed in seeds or range(1, count + 1):
         kept = Path(folder) / str(seed) if folder else None
--- a/tansycrank/lab/soak/oracle.py
+++ b/tansycrank/lab/soak/oracle.py
@@ -227,6 +227,8 @@
     def _draining(self) -> None:
         owners = {record.request: record.router for record in self.evidence.asked}
         spans = {router: self._closed_spans(router) for router in range(self.plan.routers)}
+        told = sum(len(closed) for nodes in spans.values() for closed in nodes.values())
+        self.verdict.exercised[Invariant.NOTHING_TO_DRAINING] += told
         for request, events in self.events.items():
             if request not in owners:
                 continue
@@ -237,7 +239,6 @@
     def _check_drain(self, event: NodeEvent, spans: Iterable[tuple[float, float]]) -> None:
         for start, end in spans:
             if start < event.at < end:
-                self.verdict.exercised[Invariant.NOTHING_TO_DRAINING] += 1
                 late = event.at - start - self.plan.drain_grace
                 if late > READING and not self._hung(event):
                     text = f"{event.request}: reached node {event.node} {late:.0f} ms after the grace"
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,7 +1,9 @@
 """Soaks of a few seconds on real processes: the router passes, one with the incident's bug does not."""
 
 import pytest
+from click.testing import CliRunner
 
+from tansycrank.cli import main
 from tansycrank.lab.soak.run import soak, totals
 
 SECONDS = 9.0
@@ -29,3 +31,8 @@
     report = soak(SEED, SECONDS, bug="wall-clock")
     assert not report.passed
     assert f"--seed {SEED}" in report.details()[-1]
+
+
+def test_a_bug_that_is_none_is_named_with_those_there_are():
+    result = CliRunner().invoke(main, ["soak", "--bug", "no-such-bug"])
+    assert result.exit_code == 2 and "no-such-bug" in result.output and "wall-clock" in result.output
