--- a/tansycrank/lab/soak/seeded_bugs.py
+++ b/tansycrank/lab/soak/seeded_bugs.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import sys
-import time
 from collections.abc import Callable
 
 from tansycrank import clock
@@ -19,7 +18,7 @@
 
 def wall_clock() -> None:
     """The incident itself: all spans of time rest on the wall clock."""
-    clock.MonotonicReactor.seconds = staticmethod(time.time)
+    clock.MonotonicReactor.seconds = staticmethod(lambda: clock.unix_ms() / 1000)
 
 
 class _Unchecked:
