Read again: a state nobody asked for is out, the soak's oracle sorts its faults once

AttemptState and Attempt.state followed from two fields and had no reader; the oracle gathered the routers' crashes anew for each request; a share of requests was named for something else; a field of NodeProcess was made in start(). No behaviour changed.

--- a/tansycrank/lab/soak/clients.py
+++ b/tansycrank/lab/soak/clients.py
@@ -30,7 +30,7 @@
 DEADLINES = (0.02, 0.15, 0.5, 1.0, 1.0)  # of the longest
 LONG_AFTER = 3.0  # s after its deadline until which an answer is waited for
 HALFWAY = 3.5  # s that a client which stopped halfway stays
-NEVER_READ = 0.02  # share of requests that a client sends in two pieces
+IN_TWO_PIECES = 0.02  # share of requests
 
 
 class ClientsSpec(msgspec.Struct):
@@ -132,7 +132,6 @@
         deadline = int(self.chance.choice(DEADLINES) * self.spec.give_up)
         record = ClientRecord(id, router, EFFECTS[name], shards, 0.0, deadline, 0.0, Ending.NO_ANSWER)
         leaves = self.chance.random() < LEAVES
-        crossed = False
         try:
             await self.send(connection, request_bytes(id, name, shards, deadline))
             record.sent = monotonic_ms()
@@ -159,7 +158,7 @@
 
     async def send(self, connection: Connection, data: bytes) -> None:
         """A request in one piece, or in two."""
-        if self.chance.random() < NEVER_READ:
+        if self.chance.random() < IN_TWO_PIECES:
             cut = self.chance.randrange(1, len(data))
             connection.writer.write(data[:cut])
             await asyncio.sleep(0.02)
--- a/tansycrank/lab/soak/fleet.py
+++ b/tansycrank/lab/soak/fleet.py
@@ -146,7 +146,7 @@
 
     def __init__(self, fleet: Fleet, number: int) -> None:
         self.fleet, self.number, self.name = fleet, number, f"s-{number}"
-        self.process, self.line, self.port = None, None, 0
+        self.process, self.line, self.port, self.started_ms = None, None, 0, 0.0
         self.journal = fleet.folder / f"node-{number}.jsonl"
         self.busy = threading.Lock()  # one fault at a time that ends its process
 
--- a/tansycrank/lab/soak/oracle.py
+++ b/tansycrank/lab/soak/oracle.py
@@ -87,6 +87,7 @@
         for event in sorted(evidence.node_events, key=lambda event: event.at):
             self.events[event.request].append(event)
         self.hangs = self._spans(FaultKind.NODE_HANG)
+        self.crashes = self._spans(FaultKind.ROUTER_CRASH)
 
     def judge(self) -> Verdict:
         """All invariants."""
@@ -119,8 +120,9 @@
         )
 
     def _router_killed(self, router: int, start: float, end: float) -> bool:
-        crashes = self._spans(FaultKind.ROUTER_CRASH)[str(router)]
-        return any(start - READING <= fault.at <= end + READING for fault in crashes)
+        return any(
+            start - READING <= fault.at <= end + READING for fault in self.crashes[str(router)]
+        )
 
     def _calls(self, request: str) -> list[NodeEvent]:
         return [event for event in self.events[request] if event.kind is NodeEventKind.CALL]
--- a/tansycrank/lifecycle.py
+++ b/tansycrank/lifecycle.py
@@ -47,13 +47,14 @@
     STOPPED = "this process has stopped"
 
 
+# Invariants that the policy's choice alone breaks; other reasons may come true before it is carried out.
 _BROKEN_BY_CHOOSING = {
     Reason.REQUEST_ENDED: Invariant.NO_START_AFTER_END,
     Reason.ANSWERED: Invariant.NO_START_AFTER_END,
     Reason.MAY_HAVE_RUN: Invariant.NO_DOUBLE_EFFECT,
     Reason.ENDPOINT: Invariant.NOTHING_TO_DRAINING,
     Reason.STOPPED: Invariant.NO_START_AFTER_END,
-}  # the rest may come true between a decision and its execution
+}
 
 
 class NotAllowed(Exception):
@@ -72,14 +73,6 @@
     ABANDONED = "abandoned"
 
 
-class AttemptState(Enum):
-    """The states of an attempt, in this order."""
-
-    CHOSEN = "chosen"  # nothing of it has left this process
-    STARTED = "started"  # bytes were handed to a connection
-    ENDED = "ended"
-
-
 class Answer(Enum):
     """The kinds of final answer."""
 
@@ -101,7 +94,7 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """One attempt of a sub-request at an endpoint."""
+    """One attempt of a sub-request: started once it has a time, ended once it has an outcome."""
 
     lifecycle: Lifecycle
     request: Request
@@ -112,13 +105,6 @@
     started_at: float | None = None
     outcome: Outcome | None = None
 
-    @property
-    def state(self) -> AttemptState:
-        """Where it stands."""
-        if self.outcome is not None:
-            return AttemptState.ENDED
-        return AttemptState.CHOSEN if self.started_at is None else AttemptState.STARTED
-
     @property
     def may_have_run(self) -> bool:
         """Whether it left this process and nothing proves that it never ran."""
