--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,7 +1,10 @@
 """KNOWN-RED.txt: tests that fail for a fault that is told and not mended yet. CI passes over these alone.
 
 One line each: `test | cause | issue`; the test as pytest names it, without the values of its parameters if
-all of them are meant. Lines that are empty or begin with # say nothing. `--known-red FILE` turns it on.
+all of them are meant. Lines that are empty or begin with # say nothing.
+
+`--known-red=FILE` turns it on, as one word: a second word that names a file counts as a path of tests
+before the options are known, and the conftest that knows this one is then never loaded.
 """
 
 from pathlib import Path
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,5 +1,8 @@
 """What CI does with KNOWN-RED.txt, on runs of pytest of its own."""
 
+import re
+import shlex
+import shutil
 import subprocess
 import sys
 from pathlib import Path
@@ -72,3 +75,25 @@
 ], ids=["no such test", "no issue", "no cause", "a name alone", "twice", "four lines"])
 def test_a_list_that_cannot_be_used_fails(ci, listed):
     assert ci(GREEN + RED + EACH, listed)[0] not in (0, 1)
+
+
+def continuous_integration_flags():
+    """The options that .ci/run hands to pytest."""
+    script = (HERE.parent / ".ci" / "run").read_text()
+    return shlex.split(re.search(r"FLAGS='([^']*)'", script)[1])
+
+
+@pytest.mark.parametrize("listed", [None, "tests/test_it.py::test_red | the sky fell | 7\n"])
+def test_the_flags_of_ci_reach_the_project_s_own_option(tmp_path, listed):
+    tests = tmp_path / "tests"
+    tests.mkdir()
+    for helper in ("conftest.py", "known_red.py"):
+        shutil.copy(HERE / helper, tests)
+    (tests / "test_it.py").write_text(GREEN + (RED if listed else ""))
+    (tmp_path / "pyproject.toml").write_text("[tool.pytest.ini_options]\ntestpaths = ['tests']\n")
+    if listed:
+        (tmp_path / "KNOWN-RED.txt").write_text(listed)
+    command = [sys.executable, "-m", "pytest", *continuous_integration_flags()]
+    ended = subprocess.run(command, cwd=tmp_path, capture_output=True, text=True, timeout=120)
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+    assert ("KNOWN RED" in ended.stdout) == bool(listed)
