Why a request is refused or fails is told: counted by reason, logged with id and history

Shed and Fail carry a GiveUpReason that takes no part in comparisons and is on no wire; decisions are unchanged.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 FLAGS =
+SEED = 1
 
-.PHONY: demo test lint clean
+.PHONY: demo test test-stepped lint clean
 
 $(VENV)/.installed: requirements.txt requirements-router.txt requirements-dev.txt
 	test -d $(VENV) || $(PYTHON) -m venv $(VENV)
@@ -17,6 +18,10 @@
 test: $(VENV)/.installed
 	$(BIN)/python -m pytest $(FLAGS)
 
+# All tests once more under a wall clock that is stepped, about once a second, by seconds or an hour.
+test-stepped: $(VENV)/.installed
+	$(BIN)/python -m tansycrank.lab.preload.stepped $(SEED) $(BIN)/python -m pytest $(FLAGS)
+
 lint: $(VENV)/.installed
 	$(BIN)/ruff check .
 	$(BIN)/lint-imports
--- a/tansycrank/brain.py
+++ b/tansycrank/brain.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 
 from tansycrank import interface as io
-from tansycrank.interface import Effect, ListKind, Outcome, Status
+from tansycrank.interface import Effect, GiveUpReason, ListKind, Outcome, Status
 from tansycrank.state import Attempt, LatencyWindow, Part, Query, Server, SlidingSum
 
 # Figures of the design.
@@ -254,12 +254,12 @@
         else:
             self._end(query, io.Answer(query.id, whole and query.whole_so_far))
 
-    def _give_up(self, query: Query) -> None:
+    def _give_up(self, query: Query, reason: GiveUpReason) -> None:
         """At once, and as a refusal wherever no effect may have happened."""
         ran = any(a.may_have_run for part in query.parts for a in part.attempts)
         hold = min(HOLD_OFF * query.cls.aim, self.cfg.hold_off_max) if self.cfg.can_hold_off else 0.0
         harmless = not ran or query.cls.effect is Effect.SAFE
-        self._end(query, io.Shed(query.id, hold) if harmless else io.Fail(query.id))
+        self._end(query, io.Shed(query.id, hold, reason) if harmless else io.Fail(query.id, reason))
 
     def _review(self, query: Query) -> None:
         """Answer if it is time, or give up if nothing more can be earned."""
@@ -281,7 +281,7 @@
             return self._conclude(query, False)
         unsent = sum(not p.attempts for p in open_parts)
         if self._suspect(query) and len(query.broke) > 1 and not any(p.out for p in open_parts):
-            return self._give_up(query)
+            return self._give_up(query, GiveUpReason.HARMFUL)
         held = unsent and not (query.started and query.proven)
         start_by = self._start_by(query)
         if query.started and floor < need:  # danger: an answer in part thrown away for a pilot one turn late
@@ -289,14 +289,18 @@
         elif query.started and not query.proven:  # danger: one late pilot is no proof of long queues
             rest = self.all.read(self.now)[1] * len(query.parts) / PILOT_REST
             start_by = max(start_by, query.aim_at - rest)
-        if reachable < floor - 1e-5 or self.now >= query.dead_at or held and self.now >= start_by:
-            return self._give_up(query)
+        if reachable < floor - 1e-5:
+            return self._give_up(query, GiveUpReason.TOO_FEW_SHARDS)
+        if self.now >= query.dead_at:
+            return self._give_up(query, GiveUpReason.DEADLINE_PASSED)
+        if held and self.now >= start_by:
+            return self._give_up(query, GiveUpReason.PROBE_LATE if query.started else GiveUpReason.NO_START)
         if held and query.started and not query.waits:
             query.waits = True
             self._at(start_by, self._review, query)
         if self.now >= query.aim_at - 2 * self.cfg.tick:
             if cls.late_worth <= 0 or unsent or self.waiting:
-                return self._give_up(query)
+                return self._give_up(query, GiveUpReason.TARGET_PASSED)
             self._at(min(self.now + RECHECK, query.dead_at), self._review, query)
 
     def _ledger_allows(self, hedge: bool) -> bool:
--- a/tansycrank/daemon.py
+++ b/tansycrank/daemon.py
@@ -166,7 +166,8 @@
             session.transport.abortConnection()
         if self.log:
             lifecycle = self.coordinator.lifecycle
-            self.log.info("stopped", **self.coordinator.counts, **lifecycle.figures())
+            given_up = {reason.name.lower(): n for reason, n in self.coordinator.given_up.items()}
+            self.log.info("stopped", **self.coordinator.counts, **lifecycle.figures(), given_up=given_up)
         self.on_stopped()
 
 
--- a/tansycrank/interface.py
+++ b/tansycrank/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 
@@ -341,19 +341,36 @@
     whole: bool
 
 
+class GiveUpReason(Enum):
+    """Why a query gets no answer from the shards; for counters and logs."""
+
+    NO_START = "no sub-request could start in time"
+    PROBE_LATE = "its probe sub-request was not answered in time"
+    TOO_FEW_SHARDS = "too few of its shards can still answer"
+    TARGET_PASSED = "its latency target has passed"
+    DEADLINE_PASSED = "its deadline has passed"
+    HARMFUL = "endpoints broke off as they began it"
+    NOT_WHOLE = "an answer in part is of no use to its client"
+    STOPPING = "this router stops"
+    UNREADABLE = "its connection cannot be read any more"
+    FAULT = "a fault of this router"
+
+
 @dataclass(frozen=True, slots=True)
 class Shed:
-    """Refuse the query: trying again does no harm."""
+    """Refuse the query: trying again does no harm. `reason` is no part of a comparison."""
 
     query: int
     hold_off: float = 0.0
+    reason: GiveUpReason = field(default=GiveUpReason.FAULT, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
-    """Give the query up and promise nothing."""
+    """Give the query up and promise nothing. `reason` is no part of a comparison."""
 
     query: int
+    reason: GiveUpReason = field(default=GiveUpReason.FAULT, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tansycrank/lab/soak/seeded_bugs.py
+++ b/tansycrank/lab/soak/seeded_bugs.py
@@ -32,8 +32,8 @@
     """A sub-request goes out once more most of a second after its request's final answer."""
     conclude = Coordinator._conclude
 
-    def concluded(self: Coordinator, query, kind: Answer, missing: int = 0, hold_off: float = 0.0) -> None:
-        conclude(self, query, kind, missing, hold_off)
+    def concluded(self: Coordinator, query, kind: Answer, **more) -> None:
+        conclude(self, query, kind, **more)
         part = query.parts[0]
         if part.attempts:
             server = next(iter(self.pool.nodes))
@@ -81,12 +81,12 @@
     conclude = Coordinator._conclude
     kept: list[str | None] = [None]
 
-    def swapped(self: Coordinator, query, kind: Answer, missing: int = 0, hold_off: float = 0.0) -> None:
+    def swapped(self: Coordinator, query, kind: Answer, **more) -> None:
         part = query.parts[0]
         if query.id % 7 == 0 and part.value is not None and kept[0] is not None:
             part.value = kept[0]
         kept[0] = part.value
-        conclude(self, query, kind, missing, hold_off)
+        conclude(self, query, kind, **more)
 
     Coordinator._conclude = swapped
 
--- a/tansycrank/platform/client_connection.py
+++ b/tansycrank/platform/client_connection.py
@@ -14,6 +14,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from zope.interface import implementer
 
+from tansycrank.interface import GiveUpReason
 from tansycrank.platform import request as codec
 from tansycrank.platform.coordinator import Query
 from tansycrank.platform.request import QueryRequest, Refused
@@ -217,7 +218,7 @@
                 slot.told = None
                 self._unusable(slot, Refused(503, "its connection cannot be read any more"))
             elif slot.query is not None:
-                self.server.coordinator.give_back(slot.query)
+                self.server.coordinator.give_back(slot.query, GiveUpReason.UNREADABLE)
         self.flush()
 
     def flush(self) -> None:
--- a/tansycrank/platform/coordinator.py
+++ b/tansycrank/platform/coordinator.py
@@ -10,9 +10,11 @@
 from functools import partial
 
 from tansycrank import interface as io
+from tansycrank.interface import GiveUpReason
 from tansycrank.lifecycle import Answer, Lifecycle, NotAllowed, Request, Violation
 from tansycrank.platform import request as codec
 from tansycrank.platform.connection_pool import ConnectionPool
+from tansycrank.platform.given_up_log import GivenUpLog
 from tansycrank.platform.request import QueryRequest, Refused
 from tansycrank.platform.sending import Sending
 from tansycrank.router.steps import StepLoop
@@ -65,6 +67,7 @@
         self.counts = dict.fromkeys(
             ("taken", "answered", "refused", "failed", "left", "turned_away", "sends", "cancels"), 0
         )
+        self.given_up = GivenUpLog(log)
         self.outcomes = dict.fromkeys((outcome.value for outcome in io.Outcome), 0)
         acts = {
             io.Send: self._send,
@@ -130,23 +133,23 @@
             self._end(query)
             self.loop.hear(io.QueryGone(query.id))
 
-    def give_back(self, query: Query) -> None:
+    def give_back(self, query: Query, reason: GiveUpReason) -> None:
         """Answer a query that the module does not end: refused where no attempt may have run, else failed."""
         if query.life.effect is io.Effect.SAFE or not query.life.may_have_run:
             hold_off = self.settings.hold_off_max if self.settings.can_hold_off else 0.0
-            self._shed(io.Shed(query.id, hold_off))
+            self._shed(io.Shed(query.id, hold_off, reason))
         else:
-            self._fail(io.Fail(query.id))
+            self._fail(io.Fail(query.id, reason))
         self.loop.hear(io.QueryGone(query.id))
 
-    def give_back_all(self) -> None:
+    def give_back_all(self, reason: GiveUpReason) -> None:
         """Answer whatever is open."""
         for query in list(self.queries.values()):
-            self.give_back(query)
+            self.give_back(query, reason)
 
     def _broken(self, error: Exception) -> None:
         self.log("the decision module failed", error=repr(error), traceback=True)
-        self.give_back_all()
+        self.give_back_all(GiveUpReason.FAULT)
 
     def _act(self, act: Callable[[io.Action], None], action: io.Action) -> None:
         """Carry out one action. Danger: one query's fault, and the answers behind it are lost."""
@@ -159,7 +162,7 @@
             if isinstance(action, io.Send):  # the module waits for its end
                 self._never_sent(action, part)
             if query is not None and not query.ended:
-                self.give_back(query)
+                self.give_back(query, GiveUpReason.FAULT)
 
     # --- out --------------------------------------------------------------------------
 
@@ -221,18 +224,23 @@
 
     def _shed(self, action: io.Shed) -> None:
         if query := self._by_number.get(action.query):
-            self._conclude(query, Answer.REFUSED, hold_off=action.hold_off)
+            self._conclude(query, Answer.REFUSED, hold_off=action.hold_off, reason=action.reason)
 
     def _fail(self, action: io.Fail) -> None:
         if query := self._by_number.get(action.query):
-            self._conclude(query, Answer.FAILED)
+            self._conclude(query, Answer.FAILED, reason=action.reason)
 
-    def _conclude(self, query: Query, kind: Answer, missing: int = 0, hold_off: float = 0.0) -> None:
-        """The one final answer of a query, as far as its life allows it."""
+    def _conclude(
+        self, query: Query, kind: Answer, missing: int = 0, hold_off: float = 0.0,
+        reason: GiveUpReason = GiveUpReason.FAULT,
+    ) -> None:
+        """The one final answer of a query, as far as its life allows it; `reason` is why it is given up."""
         allowed = self.lifecycle.answer(query.life, kind, self.loop.now, missing)
         if allowed is None:
             return
         self._end(query)
+        if allowed in (Answer.REFUSED, Answer.FAILED):
+            self.given_up.note(query.life, allowed, reason, self.loop.now)
         if allowed is Answer.REFUSED:
             self.counts["refused"] += 1
             refusal = codec.words("not answerable in time now; asking again is harmless")
--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -205,7 +205,7 @@
 
     def _give_up(self) -> None:
         """Answer what is open. `_leave` stops once all of it was read; this does before the kill."""
-        self.coordinator.give_back_all()
+        self.coordinator.give_back_all(io.GiveUpReason.STOPPING)
         self.reactor.callLater(configuration.LAST_WORDS / 1000, self._stop)
 
     def _stop(self) -> None:
@@ -213,7 +213,8 @@
             self.stopped = True
             lifecycle = self.coordinator.lifecycle
             lifecycle.stop(self.coordinator.loop.now)
-            log("stopped", **self.coordinator.counts, **lifecycle.figures())
+            log("stopped", **self.coordinator.counts, **lifecycle.figures(),
+                given_up=self.coordinator.given_up.figures())
             self.coordinator.loop.stop()
             self.discovery.stop()
             self.pool.close()
@@ -243,6 +244,7 @@
         log(
             "state", **self.coordinator.counts, **self.server.counts, outcomes=self.coordinator.outcomes,
             **self.coordinator.lifecycle.figures(), closed=self.server.closed,
+            given_up=self.coordinator.given_up.figures(),
             open=len(self.coordinator.queries), clients=len(self.server.connections), links=self.pool.count,
             links_opened=self.pool.opened, nodes=len(self.names), steps=loop.steps,
             discovery_failures=self.discovery_failures,
--- a/tansycrank/router/coordinator.py
+++ b/tansycrank/router/coordinator.py
@@ -5,10 +5,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from tansycrank import interface as io
+from tansycrank.interface import GiveUpReason
 from tansycrank.lifecycle import Answer, Attempt, Lifecycle, NotAllowed, Request, Violation
 from tansycrank.merge.blocks import Keeper, Memory, PartStream
 from tansycrank.pg.errors import BROKE_OFF, FAILED, INTERNAL, REFUSED, PgError, cancelled
@@ -43,6 +45,7 @@
     began: float
     life: Request
     story: list[tuple] = field(default_factory=list)  # (part, server, outcome, ms) for the log
+    given_up: GiveUpReason | None = None
 
     @property
     def ended(self) -> bool:
@@ -71,6 +74,7 @@
         self._parts: dict[int, tuple[Job, PartState]] = {}
         self._ids = 0
         self.counts = {"taken": 0, "answered": 0, "refused": 0, "failed": 0, "cancelled": 0, "sends": 0}
+        self.given_up: Counter[GiveUpReason] = Counter()
         acts = {
             io.Send: self._send,
             io.Cancel: self._cancel,
@@ -256,7 +260,8 @@
         if job is None:
             return
         if not action.whole:
-            self._fail(io.Fail(action.query))  # no front asks for answers in part yet
+            # No front asks for answers in part yet.
+            self._fail(io.Fail(action.query, GiveUpReason.NOT_WHOLE))
             return
         missing = sum(part.answer is None for part in job.parts)
         allowed = self.lifecycle.answer(job.life, Answer.WHOLE, self.now, missing)
@@ -276,6 +281,7 @@
                 detail=f"retry_after_ms={action.hold_off:.0f}",
                 hint="come back after the time in the detail field",
             )
+            self._give_up(job, action.reason)
             allowed = self.lifecycle.answer(job.life, Answer.REFUSED, self.now)
             self.counts["refused" if allowed is Answer.REFUSED else "failed"] += 1
             self._forget(job, refused if allowed is Answer.REFUSED else given_up())
@@ -284,8 +290,14 @@
         job = self.jobs.get(action.query)
         if job is not None:
             self.counts["failed"] += 1
+            self._give_up(job, action.reason)
             self._end(job, given_up())
 
+    def _give_up(self, job: Job, reason: GiveUpReason) -> None:
+        """Keep why, for counters and for the log of queries."""
+        job.given_up = reason
+        self.given_up[reason] += 1
+
     def _end(self, job: Job, problem: PgError) -> None:
         """The one final answer of a query that has failed."""
         if self.lifecycle.answer(job.life, Answer.FAILED, self.now) is not None:
--- a/tansycrank/router/service.py
+++ b/tansycrank/router/service.py
@@ -370,6 +370,7 @@
             attempts=job.story,
             hedged=sum(len(p.attempts) > 1 for p in job.parts),
             outcome=outcome.state if failed else "answered",
+            given_up=job.given_up.value if job.given_up is not None else None,
             rows=sum(p.answer.rows for p in job.parts if p.answer is not None),
             bytes=sum(p.answer.size for p in job.parts if p.answer is not None),
             spilled=job.memory.spilled,
--- /dev/null
+++ b/tests/platform/test_given_up.py
@@ -0,0 +1,112 @@
+"""Each request that is refused or fails is counted with its reason, and logged with its history, bounded."""
+
+import json
+
+import pytest
+from live import Live, answer, entry, post, status
+
+from tansycrank.interface import GiveUpReason
+from tansycrank.platform.given_up_log import LINES_A_SECOND
+
+
+@pytest.fixture
+def live(caplog):
+    caplog.set_level("INFO", logger="tansycrank")
+    return Live()
+
+
+def told(caplog):
+    """The lines about requests given up: (request, answer, reason, history)."""
+    events = [json.loads(record.getMessage()) for record in caplog.records]
+    return [
+        (event["request"], event["answer"], event["reason"], event["history"])
+        for event in events if event["event"] == "given up"
+    ]
+
+
+def drain_all(live):
+    watch = live.discovery[0].accept()
+    line = json.dumps({"version": 5, "full": False, "servers": [entry(n, "terminating") for n in (1, 2, 3)]})
+    chunk = f"{len(line) + 1:x}\r\n{line}\n\r\n"
+    watch.say(f"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}".encode())
+    live.run(0.02)
+
+
+def nobody_could_be_sent_to(live):
+    drain_all(live)
+    live.ask(post())
+    live.run(1.0)
+
+
+def silent_to_the_end(live):
+    live.ask(post())
+    live.sent()
+    live.run(2.5)
+
+
+def lost_after_it_was_sent(live):
+    live.ask(post(path="/book"))
+    [(peer, _, _)] = live.sent()
+    peer.transport.end()
+    live.run(0)
+
+
+def out_when_the_router_stops_and_its_policy_sleeps(live):
+    live.daemon.terminate()
+    live.run(1.0)
+    live.ask(post(path="/book", deadline=2000))
+    live.sent()
+    live.daemon.coordinator.loop.stop()
+    live.daemon.coordinator.loop.hear = lambda *events: None
+    live.run(live.daemon.settings.stop_within / 1000 - 1.0 + 0.1)
+
+
+def its_answers_are_not_read(live):
+    protocol, _ = client = live.client()
+    live.ask(post(deadline=2000), client)
+    live.sent()
+    protocol._give_back()
+
+
+def a_fault_of_the_policy(live):
+    live.ask(post())
+    live.daemon.coordinator.loop.router.step = None
+    live.run(0.5)
+
+
+@pytest.mark.parametrize("happens, reason, kind", [
+    (nobody_could_be_sent_to, GiveUpReason.NO_START, "refused"),
+    (silent_to_the_end, GiveUpReason.DEADLINE_PASSED, "refused"),
+    (lost_after_it_was_sent, GiveUpReason.TOO_FEW_SHARDS, "failed"),
+    (out_when_the_router_stops_and_its_policy_sleeps, GiveUpReason.STOPPING, "failed"),
+    (its_answers_are_not_read, GiveUpReason.UNREADABLE, "refused"),
+    (a_fault_of_the_policy, GiveUpReason.FAULT, "refused"),
+], ids=lambda value: getattr(value, "__name__", ""))
+def test_the_reason_is_counted_and_logged_with_the_history(live, caplog, happens, reason, kind):
+    happens(live)
+    [(request, answered, why, history)] = told(caplog)
+    assert (request, answered, why) == ("q1", kind, reason.value)
+    assert "taken" in history[0] and any(event.endswith(kind) for event in history)
+    assert live.daemon.coordinator.given_up.figures() == {reason.name.lower(): 1}
+
+
+def test_what_is_served_is_given_no_reason(live, caplog):
+    transport = live.ask(post())
+    [(peer, id, _)] = live.sent()
+    peer.say(answer(id))
+    live.run(0)
+    assert status(transport.take()) == 200
+    assert not told(caplog) and not live.daemon.coordinator.given_up.figures()
+
+
+def test_the_log_is_bounded_while_all_are_counted(live, caplog):
+    drain_all(live)
+    for number in range(20):
+        live.ask(post(id=f"q{number}"))
+    live.run(0.9)
+    assert len(told(caplog)) == LINES_A_SECOND
+    assert live.daemon.coordinator.given_up.figures() == {"no_start": 20}
+    live.run(1.0)
+    live.ask(post(id="later"))
+    live.run(0.9)
+    assert [request for request, *_ in told(caplog)][-1] == "later"
