A router without descriptors closes no connection that waits to be accepted

Seen: with accept failing (EMFILE, by a preloaded shim and by a lowered RLIMIT_NOFILE) 5 to 7 of 8 clients had their connection closed with their request in it: rule lost. Cause: Twisted's Port answers EMFILE by accepting all that wait with a reserved descriptor and closing them.

--- a/tansycrank/clock.py
+++ b/tansycrank/clock.py
@@ -13,6 +13,8 @@
 from twisted.internet import epollreactor
 from twisted.internet.main import installReactor
 
+from tansycrank.listening import Port
+
 INSTALLED = "twisted.internet.reactor"  # where Twisted keeps the process's reactor
 STEP_TOLERANCE = 0.2  # s: a smaller change against the monotonic clock is slewing, not a step
 
@@ -22,6 +24,12 @@
 
     seconds = staticmethod(time.monotonic)
 
+    def listenTCP(self, port, factory, backlog=50, interface="") -> Port:  # noqa: N802
+        """Listen, on a port that loses nobody while descriptors are missing. Raises CannotListenError."""
+        made = Port(port, factory, backlog, interface, self)
+        made.startListening()
+        return made
+
 
 def install_reactor() -> MonotonicReactor:
     """Install the process's reactor, once, and return it. Raises RuntimeError if another stands already."""
--- a/tansycrank/lab/soak/clients.py
+++ b/tansycrank/lab/soak/clients.py
@@ -1,7 +1,8 @@
 """Clients of the routers: `python -m tansycrank.lab.soak.clients SPEC`, SPEC in JSON. Bounded in count.
 
 Orders on the control line: {"router": n, "accepts": bool} whether new connections may be made to a router,
-{"stop": true}: finish what is open, write the records and end.
+{"burst": bool} whether all ask without a pause, {"stop": true}: finish what is open, write the records
+and end.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
 
 MOST_SHARDS = 4  # of one request
 THINK = 0.1  # s between two requests of a client, in the mean
+THINK_IN_A_BURST = 0.002
 LEAVES, STOPS_HALFWAY = 0.08, 0.02  # shares of requests
 LEAVES_WITHIN = 0.06  # s after sending, so that its sub-requests wait, or have just gone out
 DEADLINES = (0.02, 0.15, 0.5, 1.0, 1.0)  # of the longest
@@ -90,6 +92,7 @@
         self.spec, self.chance = spec, random.Random(spec.seed)
         self.accepts = [True] * len(spec.ports)
         self.stopping = asyncio.Event()
+        self.think = THINK
         self.numbers = 0
         self.asked: list[ClientRecord] = []
         self.halves: list[HalfRequest] = []
@@ -98,6 +101,8 @@
         """One order of the control line."""
         if order.get("stop"):
             self.stopping.set()
+        if "burst" in order:
+            self.think = THINK_IN_A_BURST if order["burst"] else THINK
         if "router" in order:
             self.accepts[order["router"]] = order["accepts"]
 
@@ -112,7 +117,7 @@
         """One client: one request at a time, its connections kept."""
         kept: dict[int, Connection] = {}
         while not self.stopping.is_set():
-            await asyncio.sleep(self.chance.expovariate(1 / THINK))
+            await asyncio.sleep(self.chance.expovariate(1 / self.think))
             router = self.chance.randrange(len(self.spec.ports))
             if self.chance.random() < STOPS_HALFWAY:
                 await self.stop_halfway(router)
--- a/tansycrank/lab/soak/discovery.py
+++ b/tansycrank/lab/soak/discovery.py
@@ -1,7 +1,8 @@
 """A stand-in of service discovery: `python -m tansycrank.lab.soak.discovery SPEC`, SPEC in JSON.
 
 Each router has ports of its own, by which it is known. Orders on the control line: {"version": n,
-"entry": {...}} for a change, {"reset": true} to reset all open watches.
+"entry": {...}} for a change, {"reset": true} to reset all open watches, {"crowded": bool} whether calls are
+turned away with 503.
 """
 
 from __future__ import annotations
@@ -40,12 +41,14 @@
         self.changes: list[tuple[int, dict]] = []
         self.changed = asyncio.Condition()
         self.watches: set[asyncio.StreamWriter] = set()
+        self.crowded = False
 
     def order(self, order: dict) -> None:
         """One order of the control line."""
         if order.get("reset"):
             for writer in list(self.watches):
                 writer.transport.abort()
+        self.crowded = order.get("crowded", self.crowded)
         if "entry" in order:
             asyncio.ensure_future(self.change(order["version"], order["entry"]))
 
@@ -65,6 +68,10 @@
     async def serve(self, router: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Requests of one router, one after another."""
         while head := await reader.readuntil(b"\r\n\r\n"):
+            if self.crowded:
+                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                await writer.drain()
+                continue
             target = head.split(b" ", 2)[1].decode()
             if "watch=1" in target:
                 return await self.watch(router, int(AFTER.search(target)[1]), writer)
--- a/tansycrank/lab/soak/fleet.py
+++ b/tansycrank/lab/soak/fleet.py
@@ -11,6 +11,7 @@
 import sys
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 
@@ -18,7 +19,7 @@
 
 from tansycrank import clock
 from tansycrank.lab.ports import ReservedPort
-from tansycrank.lab.preload import WallClock
+from tansycrank.lab.preload import FailingCalls, WallClock, environment
 from tansycrank.lab.soak import records
 from tansycrank.lab.soak.clients import ClientsSpec
 from tansycrank.lab.soak.discovery import DiscoverySpec
@@ -87,6 +88,10 @@
         self.wall_clock = WallClock(
             fleet.folder, f"router-{number}", fleet.plan.wrong_from_the_start[number]
         )
+        self.failing_calls = FailingCalls(
+            fleet.folder, f"router-{number}", fleet.plan.seed * 100 + number
+        )
+        self.calls_busy = threading.Lock()  # one kind of its calls fails at a time
         self.config = fleet.folder / f"router-{number}.json"
         self.log = fleet.folder / f"router-{number}.log"
         self.discovery_at = 0  # which of its two ports of discovery it is configured for
@@ -110,11 +115,11 @@
         self.write_config()
         states = {id: entry["state"] for id, entry in self.fleet.entries.items()}
         self.fleet.lives.append(Told(clock.monotonic_ms(), self.number, self.fleet.version, states, True))
-        environment = os.environ | {"NODE_CONFIG": str(self.config), "PYTHONPATH": str(ROOT)}
+        variables = os.environ | {"NODE_CONFIG": str(self.config), "PYTHONPATH": str(ROOT)}
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", *self.fleet.program], cwd=self.fleet.folder, stderr=log,
-                env=environment | self.wall_clock.environment,
+                env=variables | environment(self.wall_clock, self.failing_calls),
             )
         until = time.monotonic() + STARTS_WITHIN
         while not self.is_ready():
@@ -290,6 +295,13 @@
                     found.append({"router": router.number, **json.loads(brace + rest)})
         return found
 
+    def failed_calls(self) -> Counter[str]:
+        """How many system calls of the routers were made to fail, by kind."""
+        total: Counter[str] = Counter()
+        for router in self.routers:
+            total.update({kind.name.lower(): n for kind, n in router.failing_calls.injected.items()})
+        return total
+
     def close(self) -> None:
         """End all processes that this fleet started."""
         processes = [node.process for node in self.nodes] + [router.process for router in self.routers]
@@ -304,6 +316,7 @@
             line.close()
         for router in self.routers:
             router.wall_clock.close()
+            router.failing_calls.close()
             router.reserved.release()
 
     # --- faults -----------------------------------------------------------------------
@@ -383,6 +396,8 @@
 
     def _router_fault(self, fault: Fault, router: RouterProcess) -> bool:
         """Carry out a fault of a router; False where another one has its process just now."""
+        if fault.kind is FaultKind.ROUTER_CALLS:
+            return self._calls_fail(fault, router)
         if not router.busy.acquire(blocking=False):
             return False
         try:
@@ -400,6 +415,19 @@
             router.busy.release()
         return True
 
+    @staticmethod
+    def _calls_fail(fault: Fault, router: RouterProcess) -> bool:
+        """One kind of a router's system calls fails for a while, whatever else happens to it meanwhile."""
+        if not router.calls_busy.acquire(blocking=False):
+            return False
+        try:
+            router.failing_calls.set({fault.call: fault.value})
+            time.sleep(fault.duration)
+            router.failing_calls.set({})
+        finally:
+            router.calls_busy.release()
+        return True
+
     def _restart(self, router: RouterProcess) -> None:
         router.signal(signal.SIGTERM)
         time.sleep(NO_NEW_CONNECTIONS)
@@ -425,10 +453,23 @@
                 self._reconfigure(int(fault.value))
             case FaultKind.WATCH_RESET:
                 self.discovery_line.order(reset=True)
+            case FaultKind.BURST:
+                self._burst(fault)
+            case FaultKind.DISCOVERY_CROWDED:
+                self.discovery_line.order(crowded=True)
+                time.sleep(fault.duration)
+                self.discovery_line.order(crowded=False)
             case _:
                 return self._discovery_fault(fault)
         return True
 
+    def _burst(self, fault: Fault) -> None:
+        for line in self.client_lines:
+            line.order(burst=True)
+        time.sleep(fault.duration)
+        for line in self.client_lines:
+            line.order(burst=False)
+
     def _reconfigure(self, times: int) -> None:
         """New configurations in quick succession, for all routers; each moves discovery."""
         for _ in range(times):
--- a/tansycrank/lab/soak/node.py
+++ b/tansycrank/lab/soak/node.py
@@ -22,6 +22,7 @@
 MEAN_WORK = 20.0  # ms
 SPREAD = 0.5  # of the logarithm of work
 FELL = 4  # exit code
+DROPS_BELOW = 8.0  # ms: with less time left a sub-request is dropped without a word
 
 
 class NodeSpec(msgspec.Struct):
@@ -135,11 +136,16 @@
                 key=options.get("k", ""),
             )
             self.count_arrival()
-            running[id] = asyncio.ensure_future(self.answer(id, request, int(shard), writer))
+            wait = float(options["d"])
+            running[id] = asyncio.ensure_future(self.answer(id, request, int(shard), wait, writer))
             running[id].add_done_callback(lambda _, id=id: running.pop(id, None))
 
-    async def answer(self, id: str, request: str, shard: int, writer: asyncio.StreamWriter) -> None:
-        """Work on a sub-request, then say how it ended."""
+    async def answer(
+        self, id: str, request: str, shard: int, wait: float, writer: asyncio.StreamWriter
+    ) -> None:
+        """Work on a sub-request for which its router waits `wait` ms, then say how it ended."""
+        if wait < DROPS_BELOW:
+            return None
         if self.chance.random() < self.trouble.busy:
             self.note(NodeEventKind.BUSY, request=request, shard=shard)
             return self.reply(writer, id, "busy", "")
--- a/tansycrank/lab/soak/plan.py
+++ b/tansycrank/lab/soak/plan.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from tansycrank.lab.preload import CallFailure
+
 SHARDS = 6  # as many as the fewest data nodes, so that each shard has its three replicas
 ZONES = ("a", "b", "c")
 EFFECTS = {"look": "read_like", "book": "non_idempotent", "move": "idempotency_key"}
@@ -21,6 +23,7 @@
     ROUTER_PAUSE = "router held up"
     ROUTER_RESTART = "router restarted (SIGTERM)"
     ROUTER_CRASH = "router killed"
+    ROUTER_CALLS = "system calls of a router fail"
     RECONFIGURE = "new configurations (SIGHUP)"
     NODE_HANG = "data node hangs"
     NODE_CRASH = "data node dies and comes back cold"
@@ -33,6 +36,8 @@
     WATCH_RESET = "open watches reset"
     DISCOVERY_HANG = "discovery silent"
     DISCOVERY_CRASH = "discovery killed and restarted"
+    DISCOVERY_CROWDED = "discovery turns calls away"
+    BURST = "clients ask without a pause"
 
 
 WEIGHTS = {
@@ -40,6 +45,7 @@
     FaultKind.ROUTER_PAUSE: 2,
     FaultKind.ROUTER_RESTART: 2,
     FaultKind.ROUTER_CRASH: 1,
+    FaultKind.ROUTER_CALLS: 4,
     FaultKind.RECONFIGURE: 2,
     FaultKind.NODE_HANG: 2,
     FaultKind.NODE_CRASH: 2,
@@ -52,9 +58,12 @@
     FaultKind.WATCH_RESET: 2,
     FaultKind.DISCOVERY_HANG: 1,
     FaultKind.DISCOVERY_CRASH: 1,
+    FaultKind.DISCOVERY_CROWDED: 1,
+    FaultKind.BURST: 2,
 }
 DURATIONS = {  # s; others have no duration
     FaultKind.ROUTER_PAUSE: (0.02, 0.15),
+    FaultKind.ROUTER_CALLS: (0.3, 2.0),
     FaultKind.NODE_HANG: (0.3, 3.0),
     FaultKind.NODE_CRASH: (0.5, 2.0),
     FaultKind.NODE_DRAIN: (1.0, 4.0),
@@ -64,7 +73,10 @@
     FaultKind.NODE_SPOILT: (1.0, 3.0),
     FaultKind.DISCOVERY_HANG: (1.0, 5.0),
     FaultKind.DISCOVERY_CRASH: (0.2, 2.0),
+    FaultKind.DISCOVERY_CROWDED: (0.5, 3.0),
+    FaultKind.BURST: (0.5, 2.0),
 }
+CALL_FAILURE_SHARES = (0.01, 0.5)  # of the calls of a kind, while it fails
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +88,7 @@
     target: int = 0
     duration: float = 0.0
     value: float = 0.0
+    call: CallFailure | None = None  # which calls fail
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,7 +171,8 @@
 def _fault(chance: random.Random, at: float, routers: int, nodes: int) -> Fault:
     kind = chance.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
     is_router = kind in (
-        FaultKind.WALL_CLOCK, FaultKind.ROUTER_PAUSE, FaultKind.ROUTER_RESTART, FaultKind.ROUTER_CRASH
+        FaultKind.WALL_CLOCK, FaultKind.ROUTER_PAUSE, FaultKind.ROUTER_RESTART, FaultKind.ROUTER_CRASH,
+        FaultKind.ROUTER_CALLS,
     )
     target = chance.randrange(routers if is_router else nodes)
     duration = chance.uniform(*DURATIONS[kind]) if kind in DURATIONS else 0.0
@@ -171,4 +185,7 @@
         value = chance.uniform(3.0, 20.0)
     elif kind in (FaultKind.NODE_ERRORS, FaultKind.NODE_BUSY, FaultKind.NODE_SPOILT):
         value = chance.uniform(0.05, 0.5)
+    elif kind is FaultKind.ROUTER_CALLS:
+        value = chance.uniform(*CALL_FAILURE_SHARES)
+        return Fault(at, kind, target, duration, value, chance.choice(list(CallFailure)))
     return Fault(at, kind, target, duration, value)
--- a/tansycrank/lab/soak/run.py
+++ b/tansycrank/lab/soak/run.py
@@ -24,6 +24,7 @@
     problems: list[str]
     faults: Counter[str]
     router_checks: Counter[str] = field(default_factory=Counter)
+    failed_calls: Counter[str] = field(default_factory=Counter)  # of routers, by kind
     seconds: float = 0.0
 
     @property
@@ -78,13 +79,13 @@
     try:
         fleet.start()
         evidence = fleet.play()
-        logs = fleet.router_logs()
+        logs, failed_calls = fleet.router_logs(), fleet.failed_calls()
     finally:
         fleet.close()
     verdict = Oracle(evidence).judge()
     problems = fleet.problems + _told_by_routers(logs)
     faults = Counter(fault.kind for fault in fleet.faults)
-    return Report(plan, verdict, problems, faults, _checks(logs), time.monotonic() - began)
+    return Report(plan, verdict, problems, faults, _checks(logs), failed_calls, time.monotonic() - began)
 
 
 def _told_by_routers(logs: list[dict]) -> list[str]:
@@ -118,11 +119,13 @@
     faults: Counter[str] = Counter()
     endings: Counter[str] = Counter()
     checks: Counter[str] = Counter()
+    failed_calls: Counter[str] = Counter()
     exercised = Counter({invariant.name.lower(): 0 for invariant in Invariant})
     for report in reports:
         faults.update({kind.lower(): number for kind, number in report.faults.items()})
         endings.update(report.verdict.endings)
         checks.update(report.router_checks)
+        failed_calls.update(report.failed_calls)
         exercised.update({kind.name.lower(): number for kind, number in report.verdict.exercised.items()})
     violations = Counter(v.invariant.name.lower() for r in reports for v in r.verdict.violations)
     return {
@@ -131,6 +134,7 @@
         "seconds": round(sum(report.seconds for report in reports), 1),
         "processes": sorted({report.plan.processes for report in reports}),
         "faults": dict(faults.most_common()),
+        "failed_system_calls": dict(failed_calls.most_common()),
         "requests": dict(endings.most_common()),
         "exercised": dict(exercised.most_common()),
         "never_exercised": sorted(name for name, number in exercised.items() if not number),
--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -256,6 +256,7 @@
 
 def main() -> int:
     """Run one router until SIGTERM; 2 for a configuration that cannot be used."""
+    logging.raiseExceptions = False  # a log that cannot be written costs its lines and nothing else
     logging.basicConfig(stream=sys.stderr, format="%(asctime)s %(message)s", level=logging.INFO)
     try:
         settings = configuration.load(os.environ)
--- a/tansycrank/platform/http_server.py
+++ b/tansycrank/platform/http_server.py
@@ -126,12 +126,15 @@
             connection.check(now)
 
     def accept_rest(self) -> bool:
-        """Accept what waits in the system's queue, as far as there is room; whether that was all."""
+        """Accept what waits in the system's queue, as far as there is room; whether that was all.
+
+        Danger: accept fails for want of a descriptor, the port closes, and requests that wait are reset.
+        """
         room = self.settings.max_clients - len(self.connections)
         before, self.port.numberAccepts = self.counts["accepted"], room
         if room > 0:
             self.port.doRead()
-        return room > 0 and self.counts["accepted"] - before < room
+        return room > 0 and self.counts["accepted"] - before < room and not self.port.starved
 
     def close_idle(self) -> None:
         """Close what no request is open on; a new connection may have one on its way."""
--- a/tests/platform/live.py
+++ b/tests/platform/live.py
@@ -166,6 +166,7 @@
     """The listening port, as far as a full router uses it."""
 
     reading = True
+    starved = False
 
     def stopReading(self):  # noqa: N802
         self.reading = False
