Soak: several kinds of calls fail at once, bursts of further clients; a dying connection is read first

Trace: the shim's ETIMEDOUT threw away what lay unread in the watch's socket, the drain in it, while discovery turned new calls away for 2.6 s; Linux lets queued bytes be read before the error. It also told of a router still up at SIGKILL: its last answers were out 100 ms before, the exit of the interpreter took the rest; SIGKILL comes 0.8 s after the longest deadline now (the platform: no sooner than 0.7).

--- a/tansycrank/lab/preload/failing_calls.c
+++ b/tansycrank/lab/preload/failing_calls.c
@@ -31,6 +31,7 @@
 static volatile struct control *control;
 static uint64_t state;
 static unsigned char opened_here[MOST_DESCRIPTORS]; /* by descriptor: whether this process connected it */
+static unsigned char dying[MOST_DESCRIPTORS];       /* whether its next read tells that it is dead */
 
 static int (*system_accept4)(int, struct sockaddr *, socklen_t *, int);
 static int (*system_socket)(int, int, int);
@@ -93,8 +94,10 @@
 
 static void mark(int descriptor, unsigned char opened)
 {
-    if (descriptor >= 0 && descriptor < MOST_DESCRIPTORS)
-        opened_here[descriptor] = opened;
+    if (descriptor < 0 || descriptor >= MOST_DESCRIPTORS)
+        return;
+    opened_here[descriptor] = opened;
+    dying[descriptor] = 0;
 }
 
 static int dies(int descriptor)
@@ -136,10 +139,13 @@
     if (strikes(INTERRUPT))
         FAIL(EINTR);
     if (dies(descriptor))
-        FAIL(ETIMEDOUT, EHOSTUNREACH);
+        dying[descriptor] = 1;
     if (length > SHORT_LENGTH && strikes(SHORT_READ))
         length = 1 + draw() % SHORT_LENGTH;
-    return system_recv(descriptor, buffer, length, flags);
+    ssize_t taken = system_recv(descriptor, buffer, length, flags);
+    if (taken == 0 && descriptor < MOST_DESCRIPTORS && dying[descriptor])
+        FAIL(ETIMEDOUT, EHOSTUNREACH); /* as Linux does: what had come is read first */
+    return taken;
 }
 
 ssize_t send(int descriptor, const void *buffer, size_t length, int flags)
--- a/tansycrank/lab/soak/clients.py
+++ b/tansycrank/lab/soak/clients.py
@@ -26,7 +26,8 @@
 
 MOST_SHARDS = 4  # of one request
 THINK = 0.1  # s between two requests of a client, in the mean
-THINK_IN_A_BURST = 0.002
+THINK_IN_A_BURST = 0.01
+BURST_CLIENTS = 60  # further ones of this process while a burst lasts
 LEAVES, STOPS_HALFWAY = 0.08, 0.02  # shares of requests
 LEAVES_WITHIN = 0.06  # s after sending, so that its sub-requests wait, or have just gone out
 DEADLINES = (0.02, 0.15, 0.5, 1.0, 1.0)  # of the longest
@@ -92,7 +93,8 @@
         self.spec, self.chance = spec, random.Random(spec.seed)
         self.accepts = [True] * len(spec.ports)
         self.stopping = asyncio.Event()
-        self.think = THINK
+        self.burst: asyncio.Event | None = None  # set when the burst that goes on is over
+        self.extra: list[asyncio.Task] = []
         self.numbers = 0
         self.asked: list[ClientRecord] = []
         self.halves: list[HalfRequest] = []
@@ -102,22 +104,34 @@
         if order.get("stop"):
             self.stopping.set()
         if "burst" in order:
-            self.think = THINK_IN_A_BURST if order["burst"] else THINK
+            self.set_burst(order["burst"])
         if "router" in order:
             self.accepts[order["router"]] = order["accepts"]
 
+    def set_burst(self, on: bool) -> None:
+        """Further clients ask from now on, or no longer."""
+        if on and self.burst is None and not self.stopping.is_set():
+            self.burst = asyncio.Event()
+            clients = (self.client(THINK_IN_A_BURST, self.burst) for _ in range(BURST_CLIENTS))
+            self.extra += [asyncio.ensure_future(client) for client in clients]
+        elif not on and self.burst is not None:
+            self.burst.set()
+            self.burst = None
+
     async def run(self) -> None:
         """All clients, until told to stop."""
-        await asyncio.gather(*(self.client() for _ in range(self.spec.clients)))
+        await asyncio.gather(*(self.client(THINK, self.stopping) for _ in range(self.spec.clients)))
+        self.set_burst(False)
+        await asyncio.gather(*self.extra)
         folder = Path(self.spec.folder)
         records.write(folder / f"{self.spec.name}.jsonl", self.asked)
         records.write(folder / f"{self.spec.name}-halves.jsonl", self.halves)
 
-    async def client(self) -> None:
-        """One client: one request at a time, its connections kept."""
+    async def client(self, think: float, over: asyncio.Event) -> None:
+        """One client until this is over: one request at a time, its connections kept."""
         kept: dict[int, Connection] = {}
-        while not self.stopping.is_set():
-            await asyncio.sleep(self.chance.expovariate(1 / self.think))
+        while not over.is_set():
+            await asyncio.sleep(self.chance.expovariate(1 / think))
             router = self.chance.randrange(len(self.spec.ports))
             if self.chance.random() < STOPS_HALFWAY:
                 await self.stop_halfway(router)
--- a/tansycrank/lab/soak/fleet.py
+++ b/tansycrank/lab/soak/fleet.py
@@ -31,7 +31,7 @@
 ROOT = Path(__file__).parents[3]
 STARTS_WITHIN = 30.0  # s for a process to say that it stands
 NO_NEW_CONNECTIONS = 0.3  # s after SIGTERM from which on clients make none to that router
-KILL_AFTER = 0.7  # s, on top of the longest deadline, from SIGTERM to SIGKILL
+KILL_AFTER = 0.8  # s, on top of the longest deadline, from SIGTERM to SIGKILL: 0.7 and time for an exit
 TOLD_AFTER = 0.3  # s until discovery knows that a node died
 SETTLE = 1.0  # s after the last request, for what nodes still have to note
 
@@ -91,7 +91,7 @@
         self.failing_calls = FailingCalls(
             fleet.folder, f"router-{number}", fleet.plan.seed * 100 + number
         )
-        self.calls_busy = threading.Lock()  # one kind of its calls fails at a time
+        self.calls_busy = threading.Lock()  # one fault of its system calls at a time
         self.config = fleet.folder / f"router-{number}.json"
         self.log = fleet.folder / f"router-{number}.log"
         self.discovery_at = 0  # which of its two ports of discovery it is configured for
@@ -417,11 +417,11 @@
 
     @staticmethod
     def _calls_fail(fault: Fault, router: RouterProcess) -> bool:
-        """One kind of a router's system calls fails for a while, whatever else happens to it meanwhile."""
+        """Some kinds of a router's system calls fail for a while, whatever else happens to it meanwhile."""
         if not router.calls_busy.acquire(blocking=False):
             return False
         try:
-            router.failing_calls.set({fault.call: fault.value})
+            router.failing_calls.set(dict.fromkeys(fault.calls, fault.value))
             time.sleep(fault.duration)
             router.failing_calls.set({})
         finally:
--- a/tansycrank/lab/soak/plan.py
+++ b/tansycrank/lab/soak/plan.py
@@ -77,6 +77,7 @@
     FaultKind.BURST: (0.5, 2.0),
 }
 CALL_FAILURE_SHARES = (0.01, 0.5)  # of the calls of a kind, while it fails
+MOST_CALL_KINDS = 4  # that fail at once
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +89,7 @@
     target: int = 0
     duration: float = 0.0
     value: float = 0.0
-    call: CallFailure | None = None  # which calls fail
+    calls: tuple[CallFailure, ...] = ()  # which kinds of calls fail
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,5 +188,6 @@
         value = chance.uniform(0.05, 0.5)
     elif kind is FaultKind.ROUTER_CALLS:
         value = chance.uniform(*CALL_FAILURE_SHARES)
-        return Fault(at, kind, target, duration, value, chance.choice(list(CallFailure)))
+        calls = chance.sample(list(CallFailure), chance.randint(1, MOST_CALL_KINDS))
+        return Fault(at, kind, target, duration, value, tuple(calls))
     return Fault(at, kind, target, duration, value)
