Time that a request lay unread while the process stood still is taken off its deadline

The reactor knows by its timers when a poll ended late; a timer every 0.1 s bounds what it does not see. A signal makes the first poll after a stand-still empty, and a connection is accepted in one poll and read in the next, so three polls count.

--- a/tansycrank/platform/client_connection.py
+++ b/tansycrank/platform/client_connection.py
@@ -59,7 +59,7 @@
         self.spoke = self.in_message = self.closing = False
         self.unread_since: float | None = None
         self.held = bytearray()  # what came while answers were not read
-        self.read_at = 0.0  # s: when the last request was read
+        self.read_at = 0.0  # s: when the last request could have been read
         self.fault: tuple[int, str] | None = None
         self._fresh()
         self.parser = httptools.HttpRequestParser(self)
@@ -183,7 +183,7 @@
         slot.told = codec.read(
             path, url.query or b"", self.headers, bytes(self.body), settings.classes, settings.module.shards
         )
-        self.read_at = server.now
+        self.read_at = server.now - server.overslept()  # danger: nodes are told time that its client lacks
         server.settle(self)
 
     def admit(self) -> None:
--- a/tansycrank/platform/daemon.py
+++ b/tansycrank/platform/daemon.py
@@ -9,7 +9,7 @@
 import signal
 import sys
 import traceback as tracebacks
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import msgspec
 from twisted.internet.error import CannotListenError
@@ -28,6 +28,7 @@
 SWEEP = 0.25  # s between looks at what waits too long
 LATE = 0.1  # s a look may come late before the log says so
 TELL = 10.0  # s between lines about how it goes
+BEAT = 0.1  # s: so long may this process stand still unnoticed; the platform allows nodes' waits 0.15 s
 LEAVE_EVERY = 0.05  # s between looks at what is still open while leaving
 READY_WITHIN = 2.0  # s for discovery's first word; the known list serves without it
 LISTEN_AGAIN = 0.1  # s until an address that another process still holds is tried again
@@ -46,7 +47,11 @@
 class Daemon:
     """Puts the parts together. `stop` is called once, when nothing is owed any more."""
 
-    def __init__(self, reactor, settings: Settings, environ: Mapping[str, str]) -> None:
+    def __init__(
+        self, reactor, settings: Settings, environ: Mapping[str, str],
+        overslept: Callable[[], float] = lambda: 0.0,
+    ) -> None:
+        """`overslept` tells for how many seconds what is read now may have lain unread."""
         self.reactor, self.settings, self.environ = reactor, settings, environ
         self.names = Names(settings.zones)
         self.pool = ConnectionPool(
@@ -61,7 +66,7 @@
             reactor, settings.module, settings.seed, self.pool, log, self.discovery.set_watch,
             self.discovery.fetch,
         )
-        self.server = HttpServer(reactor, settings, self.coordinator, log)
+        self.server = HttpServer(reactor, settings, self.coordinator, log, overslept)
         self._swept = 0.0
         self.discovery_failures = 0
         self.stopping = self.stopped = self._closed = self._doubted = False
@@ -69,7 +74,7 @@
         self._again = None  # the timer of an address that is tried again
         self._stood = False  # whether this process had stood still before the last look
         self._wall_clock = clock.WallClockMonitor()
-        self._calls = [LoopingCall(self._sweep), LoopingCall(self._tell)]
+        self._calls = [LoopingCall(self._sweep), LoopingCall(self._tell), LoopingCall(self._beat)]
         for call in self._calls:
             call.clock = reactor
 
@@ -80,7 +85,7 @@
             self._listen()
         self.reactor.callLater(READY_WITHIN if self.settings.module.must_ask else PUSHED_WITHIN, self._ready)
         self._swept = self.reactor.seconds()
-        for call, every in zip(self._calls, (SWEEP, TELL), strict=True):
+        for call, every in zip(self._calls, (SWEEP, TELL, BEAT), strict=True):
             call.start(every, now=False)
         log("started", name=self.settings.name, cores=self.settings.cores, idle_ms=self.settings.idle,
             memory_mb=self.settings.memory_mb, sockets=self.settings.sockets)
@@ -222,6 +227,10 @@
 
     # --- now and then -----------------------------------------------------------------
 
+    @staticmethod
+    def _beat() -> None:
+        """Nothing: a timer is always due soon, by which the reactor knows when it has overslept."""
+
     def _sweep(self) -> None:
         now = self.reactor.seconds()
         late, self._swept = now - self._swept - SWEEP, now
@@ -264,7 +273,7 @@
         print(f"run: {problem}", file=sys.stderr)
         return 2
     reactor = clock.install_reactor()
-    daemon = Daemon(reactor, settings, os.environ)
+    daemon = Daemon(reactor, settings, os.environ, reactor.overslept)
 
     def on_signal(number: int, act) -> None:
         signal.signal(number, lambda *_: reactor.callFromThread(act))
--- a/tansycrank/platform/http_server.py
+++ b/tansycrank/platform/http_server.py
@@ -18,8 +18,11 @@
     noisy = False
 
     def __init__(
-        self, reactor, settings: Settings, coordinator: Coordinator, log: Callable[..., None]
+        self, reactor, settings: Settings, coordinator: Coordinator, log: Callable[..., None],
+        overslept: Callable[[], float],
     ) -> None:
+        """`overslept` tells for how many seconds what is read now may have lain unread."""
+        self.overslept = overslept
         self.reactor, self.settings, self.coordinator, self.log = reactor, settings, coordinator, log
         self.connections: dict[ClientConnection, None] = {}  # oldest first
         self.unused: dict[ClientConnection, None] = {}  # after a query, no other open; longest unused first
--- a/tests/platform/real.py
+++ b/tests/platform/real.py
@@ -58,6 +58,7 @@
         if reads:
             self.wakes.set()
         self.parts, self.given_up, self.connections = [], [], []  # parts: (connection, id)
+        self.waits = {}  # ms that the router said it waits, by id
         self.changed = threading.Condition()
         if comes_up:
             self.accepts.set()
@@ -93,8 +94,9 @@
         if letter == b"X":
             self.given_up.append(rest.decode())
             return
-        for id, _, _, text in parts_of(rest):
+        for id, _, wait, text in parts_of(rest):
             self.parts.append((connection, id))
+            self.waits[id] = wait
             if self.serves:
                 connection.sendall(answer(id, value=text.decode()[:16]))
 
