Failing test: a full router throws answers away to make room for new connections

Reproduced on a real process: 24 answers of nodes and 96 new connections lie in the system together; of the 24 clients 6 to 23 get no answer. The eviction takes the connection that lies idle longest; in a rush all have just been answered, and abort drops bytes that were written and have not left.

--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -14,6 +14,7 @@
 KEY = "Idempotency-Key: 69df97975326601f\r\n"
 TEXT = "x" * 60_000
 FEW = {"cores": 1.0, "memory_mb": 64, "sockets": 96}  # descriptors: 48 clients, 8 links
+FULL = 48  # connections of clients that such a router holds
 
 
 def big(id, *shards, path="/look"):
@@ -355,3 +356,20 @@
     assert program.process.wait(30) == 0
     [ids] = program.ended()
     assert ("behind.0" in ids) <= (rest.count(b"HTTP/1.1 ") == 1)
+
+
+def test_no_answer_is_thrown_away_to_make_room_for_new_connections(start):
+    """Answers of nodes and new connections lie in the system together: it is full before the answers have left."""
+    nodes = [Node(serves=False) for _ in range(4)]
+    program = start(*nodes, cells=[0] * 4, limits=FEW, told={"services": LONG, "caps": {"openCap": 500}})
+    asking = [program.client(post(id=f"q{number}", deadline=8000)) for number in range(FULL // 2)]
+    until(lambda: len({id for node in nodes for id in node.ids}) == FULL // 2, "all requests at nodes")
+    program.halt()
+    for node in nodes:
+        for connection, id in node.parts:
+            connection.sendall(answer(id))
+    new = [program.client() for _ in range(2 * FULL)]
+    program.go_on()
+    assert [read_answer(client)[0] for client in asking] == [200] * (FULL // 2)
+    for client in new:
+        client.close()
