A full router no longer throws answers away to make room for new connections

Cause: _make_room took the connection idle longest and aborted it; idle meant that its answer had been written, not that it had left. With all connections just answered the bytes still stood in the transport's buffer, and an abort drops them. Lines: http_server._make_room, client_connection.evict. It takes only connections that have rested 0.1 s since their answer and whose bytes are taken by the system, and closes them in order; where none is, the port pauses as before. Other aborts checked: unread answers after 5 s, errors after their linger, links to nodes with nothing out.

--- a/tansycrank/platform/client_connection.py
+++ b/tansycrank/platform/client_connection.py
@@ -268,10 +268,6 @@
             self._ends(reason)
         self.transport.abortConnection()
 
-    def evict(self) -> None:
-        """Close at once, unused, for another connection."""
-        self._abort("to make room")
-
     def _ends(self, reason: str) -> None:
         """This process ends the connection: none of its requests may be open then."""
         self.closing = True
--- a/tansycrank/platform/http_server.py
+++ b/tansycrank/platform/http_server.py
@@ -9,7 +9,7 @@
 
 from tansycrank.platform.client_connection import ClientConnection
 from tansycrank.platform.coordinator import Coordinator
-from tansycrank.platform.settings import LOOKS, RETRY_ACCEPT, SILENT, Settings
+from tansycrank.platform.settings import LOOKS, RESTED, RETRY_ACCEPT, SILENT, Settings
 
 
 class HttpServer(Factory):
@@ -84,16 +84,19 @@
     def _make_room(self) -> bool:
         """Close the connection nobody uses: one that was silent too long, else the one idle longest.
 
-        Danger: a connection whose first request is on its way, or not read yet, closed for another.
+        Danger: a connection whose first request is on its way, or whose answer has not left, closed for one.
         """
         now = self.now
-        unused = [one for one in self.connections if one.idle and (one.spoke or now - one.since >= SILENT)]
+        unused = [
+            one for one in self.connections
+            if one.idle and one.unread_since is None and now - one.since >= (RESTED if one.spoke else SILENT)
+        ]
         victim = min(unused, key=lambda one: (one.spoke, one.since), default=None)
         if victim is None:
             return False
         self.counts["evicted"] += 1
         del self.connections[victim]
-        victim.evict()
+        victim.close("to make room")
         return True
 
     def rests(self, connection: ClientConnection) -> None:
--- a/tansycrank/platform/settings.py
+++ b/tansycrank/platform/settings.py
@@ -24,6 +24,7 @@
 MAX_LIST = 4 * 1024 * 1024  # bytes of one line of discovery
 REQUEST_WITHIN = 2.0  # s for a whole request, from its connection or its first byte
 SILENT = 0.5  # s a new connection may be silent before it gives way to another: its request may be on its way
+RESTED = 0.1  # s from its last answer until a connection may give way: the answer leaves, a request may come
 IDLE_CLIENT = 3.0  # s a client's connection may lie unused
 UNREAD = 5.0  # s a client may leave its answers unread
 LINGER = 0.25  # s between an error that ends a connection and its close
