--- a/tests/platform/test_crossings.py
+++ b/tests/platform/test_crossings.py
@@ -359,7 +359,7 @@
 
 
 def test_no_answer_is_thrown_away_to_make_room_for_new_connections(start):
-    """Answers of nodes and new connections lie in the system together: it is full before answers have left."""
+    """Answers of nodes and new connections lie in the system together: full before answers have left."""
     nodes = [Node(serves=False) for _ in range(4)]
     program = start(*nodes, cells=[0] * 4, limits=FEW, told={"services": LONG, "caps": {"openCap": 500}})
     asking = [program.client(post(id=f"q{number}", deadline=8000)) for number in range(FULL // 2)]
