--- a/tansycrank/listening.py
+++ b/tansycrank/listening.py
@@ -44,7 +44,9 @@
 
     def createInternetSocket(self) -> ListeningSocket:  # noqa: N802
         """The socket, before it is bound."""
-        return ListeningSocket(fileno=super().createInternetSocket().detach())
+        made = super().createInternetSocket()
+        # Its kind is told, not asked of the system: not every layer below a process can say it.
+        return ListeningSocket(made.family, made.type, made.proto, fileno=made.detach())
 
     def doRead(self) -> None:  # noqa: N802
         """Accept who waits."""
