--- a/tansycrank/lab/soak/discovery.py
+++ b/tansycrank/lab/soak/discovery.py
@@ -17,6 +17,7 @@
 from tansycrank.lab.soak.process import Journal, announce, control, listen, until_orphaned
 from tansycrank.lab.soak.records import Told
 
+EOF_BEHIND = 0.002  # s in which an end of the connection that lies behind a request is read
 BEAT = 2.0  # s between words on a watch, as long as nothing changes
 AFTER = re.compile(r"[?&]after=(-?\d+)")
 
@@ -68,20 +69,25 @@
     async def serve(self, router: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Requests of one router, one after another."""
         while head := await reader.readuntil(b"\r\n\r\n"):
+            await asyncio.sleep(EOF_BEHIND)
+            if reader.at_eof():
+                return None  # it left while this process hung, say: nobody is told what is written now
             if self.crowded:
                 writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
                 await writer.drain()
                 continue
             target = head.split(b" ", 2)[1].decode()
             if "watch=1" in target:
-                return await self.watch(router, int(AFTER.search(target)[1]), writer)
+                return await self.watch(router, int(AFTER.search(target)[1]), reader, writer)
             body = self.listing(router, self.version, list(self.entries.values()), True)
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
             await writer.drain()
         return None
 
-    async def watch(self, router: int, after: int, writer: asyncio.StreamWriter) -> None:
-        """Tell changes until the connection ends."""
+    async def watch(
+        self, router: int, after: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Tell changes until the connection ends, on either side: what nobody reads is not told."""
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.watches.add(writer)
         try:
@@ -92,7 +98,7 @@
                 news = [entry for version, entry in self.changes if version > after]
                 first = self.listing(router, known, news, False)
             self.chunk(writer, first + b"\n")
-            while not writer.is_closing():
+            while not writer.is_closing() and not reader.at_eof():
                 news = [entry for version, entry in self.changes if version > known]
                 if news:
                     known = self.version
