Nothing leaves after a stall before what discovery wrote is read

Callers saw requests at nodes 1.31 s after the router had been told that these drain (rule 3), and 504 though the answer lay unread. After a stop of the process the routers acted on what they had known before: frames lay in Twisted's buffer and left unasked, sockets were written before the watch was read, timers ran before input.

Evidence: a real process stopped (SIGSTOP) at named instants while discovery tells the drain.

Polls report reads before writes, and after a stall input is read before timers and steps. So it does not matter where the process was stopped.

--- a/tansycrank/daemon.py
+++ b/tansycrank/daemon.py
@@ -19,6 +19,7 @@
 from tansycrank.lifecycle import Violation
 from tansycrank.merge.blocks import MemoryReservations
 from tansycrank.merge.spill import SpillSpace
+from tansycrank.pending_notifications import PendingNotifications
 from tansycrank.postgres.errors import SHUTTING_DOWN, PgError
 from tansycrank.postgres.server import PostgresServerFactory
 from tansycrank.sql_router.connection_pool import ConnectionPool
@@ -88,6 +89,7 @@
         self.coordinator.on_violation = self._on_violation
         kind = FeedClient if config.roster.feed else EndpointFile
         self.roster = kind(reactor, config, self.pools, self.coordinator.handle_endpoint_list, log)
+        self.pools.notifications = PendingNotifications(reactor, self.roster.read_available)
         self.service = Service(config, self.coordinator, log)
         self.front = PostgresServerFactory(
             self.service, config.listen, reactor, config.router.seed, log
--- a/tansycrank/discovery/endpoint_source.py
+++ b/tansycrank/discovery/endpoint_source.py
@@ -37,6 +37,9 @@
             case RemoveEndpoint(endpoint):
                 self.pools.forget(endpoint)
 
+    def read_available(self) -> None:
+        """Read what has arrived of changes; a source that is polled has nothing waiting."""
+
     def log_problem(self, text: str) -> None:
         """Log something unexpected about the list."""
         if self.log:
--- a/tansycrank/discovery/feed_client.py
+++ b/tansycrank/discovery/feed_client.py
@@ -24,6 +24,7 @@
     TimerExpired,
     WatchRequested,
 )
+from tansycrank.pending_notifications import read_available
 from tansycrank.routing import EndpointListKind, EndpointListUpdate
 
 CONNECT_TIMEOUT_SECONDS = 2
@@ -36,6 +37,12 @@
 
     def __init__(self, feed: FeedClient, max_line_bytes: int) -> None:
         self.feed, self.MAX_LENGTH = feed, max_line_bytes
+        self.chunks_received = 0
+
+    def dataReceived(self, data: bytes) -> None:
+        """Split what came into lines."""
+        self.chunks_received += 1
+        super().dataReceived(data)
 
     def connectionMade(self) -> None:
         """Notify the view."""
@@ -96,6 +103,11 @@
             self._timer.cancel()
         self._disconnect()
 
+    def read_available(self) -> None:
+        """Read what has arrived on the feed."""
+        if self.protocol is not None:
+            read_available(self.protocol)
+
     def handle(self, event: Event) -> None:
         """Pass one event to the view and carry out its actions."""
         for action in self.view.step(self.now_ms(), [event]):
--- a/tansycrank/http_router/connection_pool.py
+++ b/tansycrank/http_router/connection_pool.py
@@ -12,6 +12,7 @@
 from tansycrank.http_router.node_connection import ConnectionLimits, NodeConnection
 from tansycrank.http_router.outgoing_call import Done, OutgoingCall
 from tansycrank.lifecycle import Attempt
+from tansycrank.pending_notifications import PendingNotifications
 from tansycrank.routing import Outcome
 from tansycrank.single_connection import OneConnection
 
@@ -22,7 +23,8 @@
 class ConnectionPool:
     """At most `max_connections` connections, `max_calls_per_connection` shard requests on each.
 
-    A frame carries `call_batch_size` shard requests at most.
+    A frame carries `call_batch_size` shard requests at most. `notifications` are read before it
+    leaves.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         self.max_calls_per_connection = max_calls_per_connection
         self.call_batch_size = call_batch_size
         self.max_connections = max_connections
+        self.notifications = PendingNotifications(reactor, lambda: None)
         self._limits = ConnectionLimits(
             connect_timeout=connect_timeout_ms / 1000,
             revoked_frame=min(REVOKED_FRAME_LIMIT_SECONDS, drain_grace_ms / 2000),
@@ -178,7 +181,9 @@
     def _open(self, target: EndpointConnections) -> NodeConnection | None:
         if self.connection_count >= self.max_connections and not self._close_least_recently_used():
             return None
-        connection = NodeConnection(self.reactor, target.endpoint, self._limits, target, self.log)
+        connection = NodeConnection(
+            self.reactor, target.endpoint, self._limits, target, self.notifications, self.log
+        )
         target.connections.add(connection)
         self.connections.add(connection)
         self.connections_opened += 1
--- a/tansycrank/http_router/daemon.py
+++ b/tansycrank/http_router/daemon.py
@@ -25,6 +25,8 @@
 from tansycrank.http_router.http_server import HttpServer
 from tansycrank.http_router.maintenance import Maintenance
 from tansycrank.http_router.settings import ConfigError, EndpointListDocument, Settings
+from tansycrank.pending_notifications import PendingNotifications
+from tansycrank.stall_metrics import StallMetrics
 
 # s until discovery's first list; without one a router that polls serves from its configuration
 READY_WITHIN = 2.0
@@ -66,6 +68,7 @@
         self.settings = settings
         self.environ = environ
         self.state = ProcessState.STARTING
+        self.stalls = StallMetrics(overslept, log)
         self.names = EndpointDirectory(settings.zones)
         self.pool = ConnectionPool(
             reactor,
@@ -78,6 +81,7 @@
             settings.module.drain_grace,
         )
         self.discovery = DiscoveryClient(reactor, *settings.discovery, self)
+        self.pool.notifications = PendingNotifications(reactor, self.discovery.read_available)
         self.coordinator = Coordinator(
             reactor,
             settings.module,
@@ -174,6 +178,7 @@
 
         An empty list is polled once more before it is believed: it ends all service.
         """
+        self.stalls.record_endpoint_list(document.version)
         if document.version >= self.names.version:
             empty = document.full and not document.servers and len(self.names) > 0
             if empty and not self._is_empty_list_doubted:
@@ -278,6 +283,7 @@
             discovery_failures=self.discovery_failures,
             unusable_last=self.server.latest,
             late_ms=round(loop.latest, 1),
+            **self.stalls.report(),
             cpu_s=round(usage.ru_utime + usage.ru_stime, 2),
             rss_mb=round(usage.ru_maxrss / 1024, 1),
         )
@@ -295,6 +301,7 @@
         return 2
     reactor = clock.install_reactor()
     daemon = Daemon(reactor, settings, os.environ, reactor.overslept)
+    reactor.on_late = daemon.stalls.record_lateness
 
     def on_signal(number: int, act) -> None:
         signal.signal(number, lambda *_: reactor.callFromThread(act))
--- a/tansycrank/http_router/discovery_client.py
+++ b/tansycrank/http_router/discovery_client.py
@@ -10,6 +10,7 @@
     ExchangeKind,
 )
 from tansycrank.http_router.settings import EndpointListDocument
+from tansycrank.pending_notifications import read_available
 from tansycrank.single_connection import OneConnection
 
 POLL_PATH = "/api/targets"
@@ -79,6 +80,12 @@
         if poll is not None:
             poll.end(False)
 
+    def read_available(self) -> None:
+        """Read what discovery has written on the watch and to the poll."""
+        for exchange in (self.watch, self.poll):
+            if exchange is not None:
+                read_available(exchange)
+
     # --- ExchangeListener -----------------------------------------------------------------
 
     def on_endpoint_list(self, exchange: DiscoveryExchange, document: EndpointListDocument) -> None:
--- a/tansycrank/http_router/discovery_exchange.py
+++ b/tansycrank/http_router/discovery_exchange.py
@@ -52,6 +52,7 @@
         self, reactor, kind: ExchangeKind, request: bytes, listener: ExchangeListener
     ) -> None:
         self.kind, self.ended, self.connector = kind, False, None
+        self.chunks_received = 0
         self._request, self._listener = request, listener
         self._parser = httptools.HttpResponseParser(self)
         self._buffer = bytearray()
@@ -72,6 +73,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Parse a piece of the response."""
+        self.chunks_received += 1
         if self.ended:
             return
         try:
--- a/tansycrank/http_router/node_connection.py
+++ b/tansycrank/http_router/node_connection.py
@@ -18,9 +18,11 @@
 
 from tansycrank.http_router import frames
 from tansycrank.http_router.outgoing_call import OutgoingCall
+from tansycrank.pending_notifications import PendingNotifications
 from tansycrank.routing import Outcome
 
 PARTIAL_FRAME_LIMIT_SECONDS = 0.5  # for the rest of a node's frame to arrive
+MAX_FRAME_AGE_SECONDS = 0.1  # an older frame that waits tells its node too long a deadline
 MAX_FINISHED_IDS = 256  # ids remembered for answers that come late or twice
 
 
@@ -62,6 +64,7 @@
         endpoint: int,
         limits: ConnectionLimits,
         owner: ConnectionOwner,
+        notifications: PendingNotifications,
         log: Callable[..., None],
     ) -> None:
         self.endpoint = endpoint
@@ -74,8 +77,11 @@
         self.connector = None
         self.last_used = reactor.seconds()
         self._reactor, self._limits, self._owner, self._log = reactor, limits, owner, log
+        self._notifications = notifications
         self._queued: deque[list[OutgoingCall]] = deque()
         self._may_write = False  # whether the system has taken all that the socket was given
+        self._has_frame_begun = False  # whether the system has taken a byte of the last frame
+        self._is_rewritten = False  # the last frame was taken back once: its age no longer counts
         self._revocation_timer = None
         self._reader = frames.FrameReader()
         self._partial_since = self.last_used
@@ -135,6 +141,39 @@
     def stopProducing(self) -> None:
         """Do nothing: `connectionLost` follows."""
 
+    def may_write(self) -> bool:
+        """Whether the last frame may leave, asked until its first byte has left.
+
+        A frame with a call that may not start any more, or that waited long, is taken back.
+        """
+        if self._has_frame_begun or not self.calls_in_transmission:
+            return self.state is not ConnectionState.CLOSED
+        self._notifications.ensure_read()  # may revoke calls, or close this connection
+        if self.state is ConnectionState.CLOSED:
+            return False
+        now = self._reactor.seconds()
+        max_age = float("inf") if self._is_rewritten else MAX_FRAME_AGE_SECONDS
+        if all(call.may_leave(now, max_age) for call in self.calls_in_transmission):
+            return True
+        self._take_back_frame()
+        return False
+
+    def on_bytes_written(self) -> None:
+        """Note that the last frame has begun to leave."""
+        self._has_frame_begun, self._is_rewritten = True, False
+
+    def _take_back_frame(self) -> None:
+        """Queue the calls of the last frame again; who may not start ends when it is written."""
+        calls, self.calls_in_transmission = self.calls_in_transmission, []
+        self._cancel_revocation_timer()
+        ids = {call.id for call in calls}
+        self.unsent_cancels = [id for id in self.unsent_cancels if id not in ids]
+        for call in calls:
+            self.sent_calls.pop(call.id, None)
+            call.take_back()
+        self._queued.appendleft(calls)
+        self._is_rewritten = True
+
     def carry(self, calls: list[OutgoingCall]) -> None:
         """Queue calls that share one frame."""
         for call in calls:
@@ -198,6 +237,7 @@
                 self.sent_calls.update((call.id, call) for call in calls)
                 data = frames.encode_call(_to_shard_call(call, now) for call in calls)
             self.last_used, self._may_write, self.calls_in_transmission = now, False, calls
+            self._has_frame_begun = False
             self.transport.write(data)
 
     def _can_write(self) -> bool:
--- a/tansycrank/lifecycle.py
+++ b/tansycrank/lifecycle.py
@@ -90,6 +90,7 @@
     deadline: float
     start_by: float
     started_at: float | None = None
+    is_counted: bool = False  # in the budget of hedges and retries
     outcome: Outcome | None = None
 
     @property
@@ -102,6 +103,14 @@
         """Start it as its bytes leave; the reason if it may not start, else None."""
         return self.lifecycle.start(self, now)
 
+    def may_leave(self, now: float) -> bool:
+        """Whether it still may start when its first byte leaves, after `start`."""
+        return self.lifecycle.may_leave(self, now)
+
+    def take_back(self) -> None:
+        """Undo `start`: none of its bytes have left."""
+        self.started_at = None
+
     def end(self, outcome: Outcome, now: float) -> None:
         """Record its one outcome."""
         self.lifecycle.end(self, outcome, now)
@@ -274,11 +283,12 @@
         """Start an attempt; the reason if it may not start, else None."""
         query = attempt.query
         reason = self._forbids(attempt, now)
-        if reason is None and self._is_repeat(attempt):
+        if reason is None and not attempt.is_counted and self._is_repeat(attempt):
             self.checked[Invariant.WITHIN_BUDGET] += 1
             if self._budget_spent(now):
                 reason = DenialReason.BUDGET
             else:
+                attempt.is_counted = True
                 self._repeated.add(now)
         if reason is not None:
             self.refused[reason] += 1
@@ -290,6 +300,13 @@
         query.note(now, f"{attempt.shard_request}: started at {attempt.endpoint}")
         return None
 
+    def may_leave(self, attempt: Attempt, now: float) -> bool:
+        """Whether a started attempt still may start: its first byte leaves only now.
+
+        Time may have passed since, in which its query ended or its endpoint began to drain.
+        """
+        return self._forbids(attempt, now) is None
+
     def end(self, attempt: Attempt, outcome: Outcome, now: float) -> None:
         """Record the one outcome of an attempt."""
         attempt.outcome = outcome
--- a/tansycrank/policy_event_loop.py
+++ b/tansycrank/policy_event_loop.py
@@ -10,6 +10,9 @@
 from tansycrank import routing
 from tansycrank.routing.policy import RoutingPolicy
 
+# s between a poll of the sockets and a step after which they are polled again before the step
+MAX_SINCE_POLL = 0.05
+
 
 class PolicyEventLoop:
     """Times are milliseconds of the reactor's clock, which is monotonic.
@@ -27,6 +30,7 @@
         on_broken: Callable[[Exception], None],
         after: Callable[[], None] = lambda: None,
     ) -> None:
+        """Create the policy; a reactor that has `since_poll` is asked for it before each step."""
         self.reactor = reactor
         self.on_broken = on_broken
         self.after = after
@@ -36,6 +40,8 @@
         self._acts = {**acts, routing.SetTimer: self._set_timer}
         self._events: list[routing.Event] = []
         self._pending_step = self._timer = None
+        self._since_poll = getattr(reactor, "since_poll", lambda: 0.0)
+        self._is_postponed = False  # the pending step waits for a poll
 
     @property
     def now(self) -> float:
@@ -56,7 +62,12 @@
         self._pending_step = self._timer = None
 
     def _step(self) -> None:
-        self._pending_step = None
+        if self._since_poll() > MAX_SINCE_POLL and not self._is_postponed:
+            # The process was stopped: what its peers have sent meanwhile is read first.
+            self._is_postponed = True
+            self._pending_step = self.reactor.callLater(0, self._step)
+            return
+        self._pending_step, self._is_postponed = None, False
         events, self._events = self._events, []
         self.steps += 1
         try:
--- a/tansycrank/sql_router/connection_pool.py
+++ b/tansycrank/sql_router/connection_pool.py
@@ -10,6 +10,7 @@
 
 from tansycrank.lifecycle import Attempt
 from tansycrank.merge.blocks import ShardRowStream
+from tansycrank.pending_notifications import PendingNotifications
 from tansycrank.routing import Outcome
 from tansycrank.single_connection import OneConnection
 from tansycrank.sql_router.node_connection import (
@@ -68,7 +69,10 @@
 
 
 class ConnectionPool:
-    """The links of this router. Times of `send` are milliseconds."""
+    """The links of this router. Times of `send` are milliseconds.
+
+    `notifications` are read before a shard request leaves.
+    """
 
     def __init__(
         self, reactor, store, parameters: dict[str, str], max_row: int = 64 * 1024 * 1024
@@ -81,6 +85,7 @@
         )
         self.nodes: dict[int, NodePool] = {}
         self.opened = self.closed = 0
+        self.notifications = PendingNotifications(reactor, lambda: None)
         self.later: Callable[[NodeConnection], None] | None = None  # the line of large work
 
     def place(self, endpoint: int, host: str, port: int) -> None:
@@ -175,12 +180,14 @@
             return False
         call.connection, call.out = connection, True
         connection.used = now
-        connection.run(call.request, call.stream, call.finish)
+        connection.run(call.request, call.stream, call.finish, call.attempt)
         return True
 
     def _open(self, node: NodePool) -> None:
         grace = self.store.cancel_grace_ms / 1000
-        connection = NodeConnection(self.parameters, self.max_row, grace, self.reactor, self.later)
+        connection = NodeConnection(
+            self.parameters, self.max_row, grace, self.reactor, self.notifications, self.later
+        )
         node.all.add(connection)
         self.opened += 1
         timer = self.reactor.callLater(self.store.connect_timeout_ms / 1000, connection.abort)
--- a/tansycrank/sql_router/node_connection.py
+++ b/tansycrank/sql_router/node_connection.py
@@ -15,7 +15,9 @@
 from twisted.internet.protocol import Protocol
 from twisted.protocols.basic import LineReceiver
 
+from tansycrank.lifecycle import Attempt
 from tansycrank.merge.blocks import ShardRowStream
+from tansycrank.pending_notifications import PendingNotifications
 from tansycrank.postgres import messages as pg
 from tansycrank.postgres.errors import (
     FEATURE_NOT_SUPPORTED,
@@ -113,8 +115,10 @@
         max_row: int,
         cancel_grace: float,
         reactor,
+        notifications: PendingNotifications,
         later: Callable[[NodeConnection], None] | None = None,
     ) -> None:
+        self._notifications = notifications
         self.parameters, self.cancel_grace, self.reactor = parameters, cancel_grace, reactor
         self.later = (
             later  # puts the link in the line of large work; None: everything is read at once
@@ -135,6 +139,7 @@
         self._pending = b""  # received data of a large result, not read yet
         self._cancel_open = False  # a late CancelRequest would cancel the next statement
         self._grace = None
+        self._unsent: Attempt | None = None  # its request was written, and no byte of it has left
 
     # --- Twisted ----------------------------------------------------------------------
 
@@ -196,15 +201,48 @@
     # --- for the pool -----------------------------------------------------------------
 
     def run(
-        self, request: ShardStatement, stream: ShardRowStream, done: Callable[[AttemptResult], None]
+        self,
+        request: ShardStatement,
+        stream: ShardRowStream,
+        done: Callable[[AttemptResult], None],
+        attempt: Attempt,
     ) -> None:
-        """Send a shard request; its rows go to the stream. From here on it may have run."""
+        """Send a shard request; its rows go to the stream. From here on it may have run, unless it
+        ends as not sent.
+        """
         assert self.state is ConnectionState.IDLE
-        self.state = ConnectionState.BUSY
+        self.state, self._unsent = ConnectionState.BUSY, attempt
         self._done, self._ended = done, AttemptResult(Outcome.SUCCEEDED)
         self._stream, stream.hold = stream, self._hold
         self.transport.write(request.wire())
 
+    def may_write(self) -> bool:
+        """Whether what was written may leave now; a shard request is asked about once more."""
+        if self._unsent is None:
+            return True
+        self._notifications.ensure_read()  # may end the request, or close this connection
+        if self.state is ConnectionState.BUSY:
+            if self._unsent.may_leave(self.reactor.seconds() * 1000):
+                return True
+            self._take_back_request()
+        elif self.state is ConnectionState.SETTLING:
+            self._unsent = None
+            self._settle()
+        return False
+
+    def on_bytes_written(self) -> None:
+        """Note that the shard request has begun to leave."""
+        self._unsent = None
+
+    def _take_back_request(self) -> None:
+        """End a shard request of which nothing has left; the connection is idle again."""
+        self._unsent.take_back()
+        self._unsent = None
+        self.state = ConnectionState.IDLE
+        self._finish(AttemptResult(Outcome.NOT_SENT))
+        if self.state is ConnectionState.IDLE:
+            self.on_ready(self)
+
     def give_up(self, outcome: Outcome) -> None:
         """Stop waiting (cancelled, or timed out): report at once, ask the node to stop, settle or
         close.
@@ -245,6 +283,11 @@
         if self.state is ConnectionState.SETTLED:
             self._become_idle()
 
+    def _settle(self) -> None:
+        self.state = ConnectionState.SETTLED
+        if not self._cancel_open:
+            self._become_idle()
+
     def _become_idle(self) -> None:
         if self._grace is not None and self._grace.active():
             self._grace.cancel()
@@ -336,9 +379,7 @@
             self.state = ConnectionState.IDLE
             self.on_ready(self)
         elif self.state is ConnectionState.SETTLING:
-            self.state = ConnectionState.SETTLED
-            if not self._cancel_open:
-                self._become_idle()
+            self._settle()
         elif self.state is ConnectionState.BUSY:
             ended, self.state = self._ended, ConnectionState.IDLE
             problem = ended.error
--- a/tests/http_router/live.py
+++ b/tests/http_router/live.py
@@ -118,6 +118,9 @@
     def setTcpNoDelay(self, enabled):
         pass
 
+    def doRead(self):
+        """Nothing waits: what a peer says is read at once."""
+
     def registerProducer(self, producer, streaming):
         super().registerProducer(producer, streaming)
         if not streaming:
--- a/tests/http_router/real.py
+++ b/tests/http_router/real.py
@@ -25,6 +25,7 @@
 ROOT = Path(__file__).parent.parent.parent
 PATIENCE = 30  # s until a peer that waits for something fails; nothing asserts how long it took
 SYN_SENT = "02"
+STOP_POINTS = ROOT / "tests" / "stop_points.py"
 
 
 def until(found, what):
@@ -62,6 +63,7 @@
         if reads:
             self.wakes.set()
         self.shard_requests, self.given_up, self.connections = [], [], []  # parts: (connection, id)
+        self.frames_begun = 0
         self.waits = {}  # ms that the router said it waits, by id
         self.changed = threading.Condition()
         if comes_up:
@@ -87,6 +89,7 @@
         with contextlib.suppress(OSError):  # reset
             while len(header := stream.read(4)) == 4:
                 size = int.from_bytes(header, "little")
+                self.frames_begun += 1
                 frame = stream.read(size)
                 if len(frame) < size:
                     return
@@ -138,6 +141,16 @@
         self.listening.settimeout(PATIENCE)
         self.port = self.listening.getsockname()[1]
 
+    def poll(self):
+        """Accept a poll; answer it by `answer_poll`."""
+        self.polling, _ = self.listening.accept()
+        self.polling.recv(4096)
+
+    def answer_poll(self, version, *servers):
+        body = json.dumps({"version": version, "full": True, "servers": servers}).encode()
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        self.polling.sendall(head + body)
+
     def watch(self):
         self.connection, _ = self.listening.accept()
         self.asked = self.connection.recv(4096)
@@ -164,7 +177,9 @@
         limits=None,
         ready=True,
         environment=None,
+        stops_at=None,
     ):
+        """`stops_at` is a point of `stop_points`, for `stop_at_point`."""
         self.nodes, self.discovery, self.cells = nodes, DiscoveryClient(), cells
         self.reserved = ReservedPort()
         self.port = self.reserved.number
@@ -192,8 +207,12 @@
         environ = (
             os.environ | {"NODE_CONFIG": str(path), "PYTHONPATH": str(ROOT)} | (environment or {})
         )
+        self.trigger = folder / "stop"
+        command = (
+            ["-m", "tansycrank"] if stops_at is None else [STOP_POINTS, stops_at, self.trigger]
+        )
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "tansycrank", "run"],
+            [sys.executable, *command, "run"],
             cwd=folder,
             env=environ,
             stderr=subprocess.PIPE,
@@ -236,6 +255,14 @@
         self.signal(signal.SIGSTOP)
         os.waitid(os.P_PID, self.process.pid, os.WSTOPPED | os.WNOWAIT)
 
+    def stop_at_point(self, *data):
+        """Send this to the program, which stops itself at its point; the client."""
+        self.trigger.touch()
+        client = self.client(*data)
+        until(lambda: not self.trigger.exists(), "the program at its point")
+        os.waitid(os.P_PID, self.process.pid, os.WSTOPPED | os.WNOWAIT)
+        return client
+
     def go_on(self):
         self.signal(signal.SIGCONT)
 
