--- a/tests/http_router/live.py
+++ b/tests/http_router/live.py
@@ -171,9 +171,11 @@
         self.host, self.port, self.factory = host, port, factory
         self.protocol = self.transport = None
 
-    def accept(self):
+    def accept(self, stuck=False):
+        """The connection comes up; `stuck` if the system takes no byte for it."""
         self.protocol = self.factory.buildProtocol(None)
         self.transport = Transport(self.protocol)
+        self.transport.stuck = stuck
         self.protocol.makeConnection(self.transport)
         return self
 
--- a/tests/http_router/test_endings.py
+++ b/tests/http_router/test_endings.py
@@ -12,6 +12,7 @@
 from test_discovery import HEAD, line
 
 WINDOW, GRACE, NODES = 0.25, 0.1, 4  # s, s
+AFTER_END = 0.1  # s after the end of its query in which a frame may still leave
 CLASSES = {"look": "read_like", "book": "non_idempotent", "move": "idempotency_key"}
 SERVICES = [
     {
@@ -89,6 +90,8 @@
                     self.begun(peer, id.rpartition(".")[0], shard, wait)
                 if not peer.transport.stuck:
                     self.gone_out(peer)
+                elif peer.transport.over:
+                    peer.held = []  # what the system had not taken when this side closed
         for client in self.clients:
             self.read(client)
 
@@ -104,7 +107,11 @@
 
     def gone_out(self, peer):
         """The frames of this peer have left: what they carry may have run."""
+        host = int(peer.host.rpartition(".")[2])
         for query, shard in peer.held:
+            assert self.now <= self.told.get(host, self.now) + GRACE, f"node {host} had drained"
+            assert self.now <= (query.left or self.now) + AFTER_END, f"{query.id}: client had left"
+            assert self.now <= (query.answered or self.now) + AFTER_END, f"{query.id}: answered"
             ran = query.ran(shard)
             if CLASSES[query.cls] == "non_idempotent":
                 assert not ran, f"{query.id} may take effect twice"
@@ -225,9 +232,12 @@
         complete = answer(f"{query.id}.{shard}", end if end in ("err", "busy") else "ok", value)
         if end == "busy":
             attempt[1] = "busy"
-        if end == "ok":
+        if end in ("ok", "half"):
             query.values[shard].add(value)
-        peer.say({"half": complete[:-3], "spoilt": frame(b"A", b"\x91\x07\xfe")}.get(end, complete))
+        sent = {"half": complete[:-3], "spoilt": frame(b"A", b"\x91\x07\xfe")}.get(end, complete)
+        # A node that left a frame half goes on with the rest of it before it says anything else.
+        rest, peer.rest = getattr(peer, "rest", b""), complete[-3:] if end == "half" else b""
+        peer.say(rest + sent)
         self.look()
 
     @rule()
@@ -248,10 +258,52 @@
         if peer := self.pick(at, lambda peer: peer.transport and not peer.transport.over):
             peer.transport.stuck = not peer.transport.stuck
             if not peer.transport.stuck:
-                self.gone_out(peer)
+                self.let_leave(peer)
+            self.look()
+
+    def let_leave(self, peer):
+        """The system takes what this peer's socket holds, unless the router takes it back."""
+        if peer.protocol.may_write():
+            peer.protocol.on_bytes_written()
+            self.gone_out(peer)
+        else:
+            peer.held = []
+        peer.protocol.resumeProducing()
+
+    @rule(at=st.integers(0, 99))
+    def half_leaves(self, at):
+        """The system takes a part of the frame that a full socket holds."""
+        if peer := self.pick(at, lambda peer: peer.transport and self.is_held(peer)):
+            if peer.protocol.may_write():
+                peer.protocol.on_bytes_written()
+            else:
+                peer.held = []
                 peer.protocol.resumeProducing()
             self.look()
 
+    @rule(at=st.integers(0, 99), by_node=st.booleans())
+    def leaves_and_ends(self, at, by_node):
+        """A frame leaves in the instant before its connection ends, by a reset or by the router."""
+        if peer := self.pick(at, lambda peer: peer.transport and self.is_held(peer)):
+            self.let_leave(peer)
+            if by_node:
+                peer.transport.end()
+            else:
+                peer.protocol.close()
+            self.look()
+
+    @staticmethod
+    def is_held(peer):
+        return peer.transport.stuck and not peer.transport.over and peer.held
+
+    @rule(steps=st.sampled_from([1, 10]))
+    def fill_sockets(self, steps):
+        """All sockets are full for a while: what is sent then waits in them."""
+        for peer in self.peers:
+            if peer.transport is not None and not peer.transport.over:
+                peer.transport.stuck = True
+        self.wait(steps)
+
     # --- discovery, signals, time --------------------------------------------------
 
     @rule(
@@ -260,6 +312,8 @@
     )
     def told_by_discovery(self, node, state):
         watch = self.live.discovery[-1]
+        if watch.factory.protocol.ended:  # the router has closed it: what is written is not heard
+            return
         if watch.transport is None:
             watch.accept()
         if watch.transport.over:
@@ -279,20 +333,28 @@
         at=st.integers(0, 99),
         state=st.sampled_from(["terminating", "terminated"]),
         up=st.booleans(),
+        shard=st.integers(0, 8),
     )
-    def drain_under_a_send(self, at, state, up):
+    def drain_under_a_send(self, at, state, up, shard):
         """A node is told to go while its connection comes up, or a frame waits in its socket."""
+        if up:
+            self.fill_sockets(1)
+        self.ask("look", {shard}, 1900, True, False, 0)
+        for peer in self.peers:
+            if up and peer.transport is None and not peer.over:
+                peer.out = []
+                peer.accept(stuck=True)
+        self.look()
 
         def waits(peer):
             return peer.held if up else peer.transport is None and not peer.over
 
         if peer := self.pick(at, waits):
             self.told_by_discovery(int(peer.host.rpartition(".")[2]), state)
-            self.wait(10)
+            self.wait(round(GRACE / 0.005) + 5)
             if up and not peer.transport.over:
-                self.gone_out(peer)
                 peer.transport.stuck = False
-                peer.protocol.resumeProducing()
+                self.let_leave(peer)
             elif not up:
                 peer.out = []
                 peer.accept()
@@ -311,6 +373,36 @@
             self.wait(10)
             self.connect_all()
 
+    @rule(at=st.integers(0, 99), shard=st.integers(0, 8), cls=st.sampled_from(sorted(CLASSES)))
+    def repeat_behind_full_sockets(self, at, shard, cls):
+        """A connection breaks under a request, and repeats wait in sockets past their window."""
+        self.ask(cls, {shard}, 1900, True, False, 0)
+        self.connect_all()
+        if peer := self.pick(
+            at, lambda peer: peer.transport and not peer.transport.over and peer.out
+        ):
+            others = [one for one in self.peers if one is not peer and self.is_up(one)]
+            for one in others:
+                one.transport.stuck = True
+            peer.held = []
+            peer.transport.end()
+            self.look()
+            for one in self.peers:
+                if one.transport is None and not one.over:
+                    one.out = []
+                    one.accept(stuck=True)
+                    others.append(one)
+            self.look()
+            self.wait(round(WINDOW / 0.005) + 10)
+            for one in filter(self.is_up, others):
+                one.transport.stuck = False
+                self.let_leave(one)
+                self.look()
+
+    @staticmethod
+    def is_up(peer):
+        return peer.transport is not None and not peer.transport.over
+
     @rule()
     def watch_is_reset(self):
         watch = self.live.discovery[-1]
@@ -334,9 +426,9 @@
 
     def teardown(self):
         for peer in self.peers:
-            if peer.transport is not None and peer.transport.stuck:
+            if peer.transport and peer.transport.stuck and not peer.transport.over:
                 peer.transport.stuck = False
-                self.gone_out(peer)
+                self.let_leave(peer)
         for _ in range(200):
             self.live.run(0.005)
             self.look()
@@ -374,7 +466,7 @@
 limits.register_profile(
     "endings",
     parent=limits.get_profile("same-every-time"),
-    max_examples=120,
+    max_examples=300,
     stateful_step_count=50,
     phases=(Phase.generate,),
 )
