A request read in the last moment before the exit is refused, not lost

Callers whose request was complete within the last turns before a graceful exit got no answer: it was read, and a query is admitted or refused two polls later. Test red before: complete 0.1 ms before the exit, nothing is written; at 10 and 70 ms it was sound.

--- a/tansycrank/http_router/client_connection.py
+++ b/tansycrank/http_router/client_connection.py
@@ -45,6 +45,7 @@
     CLOSED = "closed"
 
 
+LEAVING = "this router stops"  # of a rejection
 CLOSING_STATES = (ConnectionState.LINGERING, ConnectionState.CLOSING, ConnectionState.CLOSED)
 
 
@@ -174,6 +175,8 @@
             settings.classes,
             settings.module.shards,
         )
+        if not self.server.is_admitting:
+            raise RequestRejectedError(503, LEAVING)
         # The time that the request lay unread is no longer left to its client.
         self._read_at = self.server.now - self.server.overslept()
         self.server.schedule_admission(self)
@@ -211,6 +214,14 @@
         retry_after_ms = self.server.retry_after if refusal.status == 503 else 0.0
         answer.response = codec.error(refusal.status, str(refusal), retry_after_ms)
 
+    def reject_unadmitted(self) -> None:
+        """Answer what was read and not admitted: this process stops."""
+        for answer in list(self.pending):
+            if answer.unadmitted is not None:
+                answer.unadmitted = None
+                self._answer_unusable(answer, RequestRejectedError(503, LEAVING))
+        self.flush()
+
     def reject_pending(self) -> None:
         """Answer what is open now.
 
--- a/tansycrank/http_router/daemon.py
+++ b/tansycrank/http_router/daemon.py
@@ -251,7 +251,7 @@
     def _on_drained(self) -> None:
         self.state = ProcessState.STOPPED
         lifecycle = self.coordinator.lifecycle
-        lifecycle.stop(self.coordinator.loop.now)
+        lifecycle.stop(self.coordinator.loop.now, self.server.unanswered)
         log(
             "shutdown_completed",
             **self.coordinator.counts,
--- a/tansycrank/http_router/graceful_shutdown.py
+++ b/tansycrank/http_router/graceful_shutdown.py
@@ -10,7 +10,8 @@
 from tansycrank.routing import FailureReason
 
 DRAIN_CHECK_INTERVAL = 0.05  # s between checks of what is still open
-LAST_ANSWERS = 80.0  # ms between the last answers and the exit, in which clients read them
+LAST_ANSWERS = 70.0  # ms in which clients read the last answers, and what still comes is rejected
+LAST_WRITES = 10.0  # ms between the close of all connections and the exit, in which answers leave
 
 
 class GracefulShutdown:
@@ -78,5 +79,12 @@
 
     def _reject_open_queries(self) -> None:
         """Reject or fail what is open before the kill, and leave time to read the answers."""
+        self._server.stop_admitting()
         self._coordinator.reject_all(FailureReason.STOPPING)
-        self._reactor.callLater(LAST_ANSWERS / 1000, self.complete)
+        self._reactor.callLater(LAST_ANSWERS / 1000, self._close_all)
+
+    def _close_all(self) -> None:
+        """Read nothing more: a request that is read from here on could not be answered."""
+        if not self._is_completed:
+            self._server.close_all()
+            self._reactor.callLater(LAST_WRITES / 1000, self.complete)
--- a/tansycrank/http_router/http_server.py
+++ b/tansycrank/http_router/http_server.py
@@ -47,6 +47,7 @@
         self.delayed_admission = DelayedAdmission(reactor)
         self.ready = False
         self.draining = False
+        self.is_admitting = True  # else a query is rejected as soon as it was read
         self.counts = {"accepted": 0, "unusable": 0, "unreadable": 0, "evicted": 0, "paused": 0}
         self.closed: Counter[str] = Counter()  # connections that this process closed, by reason
         self.latest = ""  # why a request could not be used
@@ -178,6 +179,22 @@
             self.port.doRead()
         return room > 0 and self.counts["accepted"] - before < room and not self.port.starved
 
+    def stop_admitting(self) -> None:
+        """Reject what was read and not admitted, and all that is read from now on."""
+        self.is_admitting = False
+        for connection in list(self.connections):
+            connection.reject_unadmitted()
+
+    def close_all(self) -> None:
+        """Close every connection once what was written has left."""
+        for connection in list(self.connections):
+            connection.close("leaving")
+
+    @property
+    def unanswered(self) -> int:
+        """Requests that were read and have no answer yet."""
+        return sum(len(connection.pending) for connection in self.connections)
+
     def close_idle(self) -> None:
         """Close the idle connections; a new one may have a request on its way and stays."""
         now = self.now
--- a/tansycrank/http_router/interfaces.py
+++ b/tansycrank/http_router/interfaces.py
@@ -19,6 +19,7 @@
     overslept: Callable[[], float]
     ready: bool
     draining: bool
+    is_admitting: bool
     retry_after: float
 
     @property
--- a/tansycrank/lifecycle.py
+++ b/tansycrank/lifecycle.py
@@ -176,10 +176,17 @@
             else:
                 self._in_service.discard(entry.endpoint)
 
-    def stop(self, now: float) -> None:
-        """Stop the process: no answer may be owed then."""
+    def stop(self, now: float, unanswered: int = 0) -> None:
+        """Stop the process: no answer may be owed then.
+
+        `unanswered` is the number of requests that were read and have no answer, admitted or not.
+        """
         self._stopped = True
         self.checked[Invariant.ANSWER_OWED] += 1
+        if unanswered:
+            self.violated[Invariant.ANSWER_OWED] += 1
+            detail = f"the process ends with {unanswered} requests read and not answered"
+            self._report(Violation(Invariant.ANSWER_OWED, detail))
         for query in self._open:
             self._violate(Invariant.ANSWER_OWED, "the process ends", query, now)
 
--- a/tests/http_router/test_http_server.py
+++ b/tests/http_router/test_http_server.py
@@ -320,6 +320,28 @@
     assert held[1].over and live.reactor.hasStopped
 
 
+@pytest.mark.parametrize("before_exit", [0.0701, 0.0101, 0.0001])  # s
+def test_a_request_that_is_complete_just_before_the_exit_is_answered(before_exit):
+    """Guards against a request that is read in the last moment and dies with the process."""
+    live = Live()
+    live.daemon.terminate()
+    live.run(live.daemon.settings.stop_taking / 1000 - 0.1)
+    protocol, transport = live.client()
+    data = post(id="last")
+    protocol.dataReceived(data[:50])
+    exit_at = live.daemon.coordinator.shutdown_deadline / 1000 + 0.08
+    while (left := exit_at - before_exit - live.reactor.seconds()) > 0:
+        live.reactor.advance(min(left, 0.001))
+    read = not transport.over
+    protocol.dataReceived(data[50:])
+    answers = []  # what had been written when the process ended
+    live.reactor.stop = lambda: answers.append(transport.take())
+    for _ in range(40):
+        live.reactor.advance(0.0049)
+    assert not live.daemon.coordinator.lifecycle.violated
+    assert not read or status(answers[0]) == 503
+
+
 def test_sigterm_leaves_nothing_unanswered_by_the_kill():
     live = Live()
     live.daemon.terminate()
