The SQL router's calls wait no longer for a connection than the policy allows

Callers: a statement waited up to connect_timeout_ms for a node that does not come up while another replica was idle. Cause: the pool ignored Send.connect_within. Three tests, red before (no such bound), green now.

--- a/tansycrank/sql_router/connection_pool.py
+++ b/tansycrank/sql_router/connection_pool.py
@@ -21,6 +21,9 @@
     refused_outcome,
 )
 
+LOGIN_PATIENCE = 3.0  # mean logins that a call may wait at least: one takes several round trips
+LOGIN_WEIGHT = 0.125  # of the newest login in their mean
+
 
 @dataclass(slots=True, eq=False)
 class OutgoingCall:
@@ -35,6 +38,7 @@
     out: bool = False  # its bytes left this process
     ended: bool = False
     timer: object = None
+    connect_timer: object = None  # runs while it waits for its connection
 
     @classmethod
     def never(cls, endpoint: int, request: ShardStatement) -> OutgoingCall:
@@ -46,12 +50,18 @@
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
 
+    def on_connected(self) -> None:
+        """It waits for its connection no more."""
+        if self.connect_timer is not None and self.connect_timer.active():
+            self.connect_timer.cancel()
+
     def finish(self, ended: AttemptResult) -> None:
         """Report, once."""
         if self.ended:
             return
         self.ended = True
         self.untimed()
+        self.on_connected()
         self.done(ended)
 
 
@@ -86,6 +96,7 @@
         self.nodes: dict[int, NodePool] = {}
         self.opened = self.closed = 0
         self.notifications = PendingNotifications(reactor, lambda: None)
+        self._mean_login_ms = 0.0
         self.later: Callable[[NodeConnection], None] | None = None  # the line of large work
 
     def place(self, endpoint: int, host: str, port: int) -> None:
@@ -134,8 +145,13 @@
         time_out: float,
         done: Callable[[AttemptResult], None],
         attempt: Attempt,
+        connect_within: float = 0.0,
     ) -> OutgoingCall:
-        """Send a part; `done` hears its one outcome, never before this returns."""
+        """Send a shard request; `done` is called with its one outcome, never before this returns.
+
+        It ends as never executed if it waits longer than `connect_within` for its connection, or
+        than `LOGIN_PATIENCE` mean logins if that is longer; 0 for no limit.
+        """
         call = OutgoingCall(endpoint, request, stream, done, attempt)
         node = self.nodes.get(endpoint)
         if node is None:
@@ -151,6 +167,11 @@
             self.reactor.callLater(0, call.finish, AttemptResult(Outcome.REJECTED))
         else:
             node.waiting.append(call)
+            if connect_within > 0:
+                limit_ms = max(connect_within, LOGIN_PATIENCE * self._mean_login_ms)
+                call.connect_timer = self.reactor.callLater(
+                    limit_ms / 1000, self._stop_waiting, call
+                )
             self._open(node)
         return call
 
@@ -158,6 +179,10 @@
         """Stop waiting for a send."""
         self._stop(call, Outcome.CANCELLED, Outcome.NOT_SENT)
 
+    def _stop_waiting(self, call: OutgoingCall) -> None:
+        """End a call that waits too long; its connection, once there, serves the next one."""
+        self._stop(call, Outcome.CONNECT_FAILED, Outcome.CONNECT_FAILED)
+
     def _timed_out(self, call: OutgoingCall) -> None:
         self._stop(call, Outcome.TIMED_OUT, Outcome.CONNECT_FAILED)
 
@@ -179,10 +204,15 @@
             self.reactor.callLater(0, call.finish, AttemptResult(Outcome.NOT_SENT))
             return False
         call.connection, call.out = connection, True
+        call.on_connected()
         connection.used = now
         connection.run(call.request, call.stream, call.finish, call.attempt)
         return True
 
+    def _record_login(self, took_ms: float) -> None:
+        weight = LOGIN_WEIGHT if self._mean_login_ms else 1.0
+        self._mean_login_ms += weight * (took_ms - self._mean_login_ms)
+
     def _open(self, node: NodePool) -> None:
         grace = self.store.cancel_grace_ms / 1000
         connection = NodeConnection(
@@ -190,11 +220,13 @@
         )
         node.all.add(connection)
         self.opened += 1
+        opened_at = self.reactor.seconds()
         timer = self.reactor.callLater(self.store.connect_timeout_ms / 1000, connection.abort)
 
         def ready(connection: NodeConnection) -> None:
             if timer.active():
                 timer.cancel()
+                self._record_login((self.reactor.seconds() - opened_at) * 1000)
             connection.used = self.reactor.seconds()
             while node.waiting:
                 if self._run(connection, node.waiting.pop(0)):
--- a/tansycrank/sql_router/coordinator.py
+++ b/tansycrank/sql_router/coordinator.py
@@ -242,6 +242,7 @@
             lifecycle_attempt.deadline - now,
             ended,
             lifecycle_attempt,
+            action.connect_within,
         )
         stream.on_close = lambda: self.pools.cancel(call)
         shard_request.attempts.append(call)
--- a/tansycrank/testbed/simulated.py
+++ b/tansycrank/testbed/simulated.py
@@ -171,8 +171,9 @@
         time_out: float,
         done: Callable[[AttemptResult], None],
         attempt: Attempt,
+        connect_within: float = 0.0,
     ) -> SimSending:
-        """As `ConnectionPool.send`."""
+        """As `ConnectionPool.send`; connections are always there."""
         if attempt.start(self.clock.seconds() * 1000) is not None:
             sending = SimSending(endpoint, stream, done, 0.0)
             self.clock.callLater(0, sending.finish, AttemptResult(routing.Outcome.NOT_SENT))
--- a/tests/test_sql_node_connection.py
+++ b/tests/test_sql_node_connection.py
@@ -45,11 +45,11 @@
         self.pools.place(1, *ADDRESS)
         self.ended, self.links = [], []
 
-    def send(self, request=ASK, time_out=0.0):
+    def send(self, request=ASK, time_out=0.0, **bounds):
         stream = ShardRowStream(self.memory_reservations.open(False))
         self.streams.append(stream)
         attempt = self.lives.attempt(self.reactor.seconds() * 1000)
-        return self.pools.send(1, request, stream, time_out, self.ended.append, attempt)
+        return self.pools.send(1, request, stream, time_out, self.ended.append, attempt, **bounds)
 
     def accept(self, greet=True):
         """Let the newest connection stand."""
@@ -214,6 +214,39 @@
     assert node.outcomes == [Outcome.CONNECT_FAILED]
 
 
+def test_a_call_waits_no_longer_for_its_connection_than_it_may():
+    node = Node(connect_timeout_ms=5000)
+    node.send(time_out=4000.0, connect_within=150.0)
+    node.reactor.advance(0.14)
+    assert not node.ended
+    node.reactor.advance(0.02)
+    assert node.outcomes == [Outcome.CONNECT_FAILED] and Outcome.CONNECT_FAILED.never_executed
+
+
+def test_the_connection_that_a_call_did_not_wait_for_serves_the_next_one():
+    node = Node(connect_timeout_ms=5000)
+    node.send(time_out=4000.0, connect_within=150.0)
+    node.reactor.advance(0.2)
+    link = node.accept()
+    node.send(time_out=4000.0, connect_within=150.0)
+    assert link.state is ConnectionState.BUSY and len(node.reactor.tcpClients) == 1
+    node.reactor.advance(0.2)  # it has its connection: only its time-out runs
+    link.dataReceived(ANSWER + pg.ready("I"))
+    assert node.outcomes == [Outcome.CONNECT_FAILED, Outcome.SUCCEEDED]
+
+
+def test_a_call_may_wait_for_a_login_as_long_as_logins_take():
+    node = Node(connect_timeout_ms=5000)
+    node.send(time_out=4000.0, connect_within=500.0)
+    node.reactor.advance(0.1)
+    node.accept()  # a login takes 100 ms here
+    node.send(time_out=4000.0, connect_within=1.0)
+    node.reactor.advance(0.25)
+    assert not node.ended
+    node.reactor.advance(0.1)
+    assert node.outcomes == [Outcome.CONNECT_FAILED]
+
+
 def test_links_a_node_are_bounded():
     node = Node(max_links=2)
     for _ in range(3):
