A discovery that lost its versions is believed after five seconds

Operators: after a discovery that counts from a lower number again, routers stayed on the list they held for good. Cause: a lower version was always taken for outdated. Test red before: lists of version 3 after 40 were never believed. Now discovery is polled about once a second while only lower versions come, and a whole list is believed after 5 s of it; one of the version held or newer ends the doubt.

--- a/tansycrank/http_router/daemon.py
+++ b/tansycrank/http_router/daemon.py
@@ -25,6 +25,7 @@
 from tansycrank.http_router.http_server import HttpServer
 from tansycrank.http_router.maintenance import Maintenance
 from tansycrank.http_router.settings import ConfigError, EndpointListDocument, Settings
+from tansycrank.http_router.version_reset import VersionReset
 from tansycrank.pending_notifications import PendingNotifications
 from tansycrank.stall_metrics import StallMetrics
 
@@ -82,6 +83,7 @@
         )
         self.discovery = DiscoveryClient(reactor, *settings.discovery, self)
         self.pool.notifications = PendingNotifications(reactor, self.discovery.read_available)
+        self._version_reset = VersionReset(reactor, settings.seed, self.discovery.poll_once)
         self.coordinator = Coordinator(
             reactor,
             settings.module,
@@ -179,7 +181,8 @@
         An empty list is polled once more before it is believed: it ends all service.
         """
         self.stalls.record_endpoint_list(document.version)
-        if document.version >= self.names.version:
+        if not self._is_outdated(document):
+            self._version_reset.clear()
             empty = document.full and not document.servers and len(self.names) > 0
             if empty and not self._is_empty_list_doubted:
                 self._is_empty_list_doubted = True
@@ -195,6 +198,17 @@
                 )
         self._ready()
 
+    def _is_outdated(self, document: EndpointListDocument) -> bool:
+        if document.version >= self.names.version:
+            return False
+        versions = {"version": document.version, "held": self.names.version}
+        if not self._version_reset.is_suspected:
+            log("older_endpoint_list_received", **versions)
+        if not self._version_reset.is_confirmed(document.full):
+            return True
+        log("endpoint_list_versions_reset", **versions)
+        return False
+
     def on_discovery_failure(self) -> None:
         """Tell the policy that a call to discovery, or its watch, has ended."""
         self.discovery_failures += 1
@@ -259,6 +273,7 @@
             given_up=self.coordinator.failure_log.figures(),
         )
         self.coordinator.loop.stop()
+        self._version_reset.clear()
         self.discovery.stop()
         self.pool.close()
         self.reactor.stop()
--- a/tests/http_router/test_discovery.py
+++ b/tests/http_router/test_discovery.py
@@ -429,3 +429,49 @@
         routing.EndpointListKind.DELTA, 61_000.0, 3, one=nodes_clock - 500_000
     )  # its own clock was set back
     assert third[2].incarnation > second[2].incarnation and third[2].started_at >= 60_500.0
+
+
+def answer_poll(live, version, *servers):
+    """Answer the open poll, if there is one, while the watch stays alive."""
+    live.watch.say(chunk(b"\n"))
+    for peer in live.discovery[1:]:
+        if peer.transport is None:
+            body = json.dumps({"version": version, "full": True, "servers": servers}).encode()
+            peer.accept().say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+
+def test_the_list_of_a_discovery_that_lost_its_versions_is_believed_after_a_while(live):
+    """Guards against routers that serve from a list of the past for good."""
+    live.watch.say(HEAD + line(40, entry(1), entry(2), full=True))
+    live.watch.say(line(3, entry(2), entry(3), full=True))
+    for _ in range(9):  # each half a second
+        live.run(0.5)
+        answer_poll(live, 3, entry(2), entry(3))
+    assert live.daemon.names.version == 40
+    for _ in range(4):
+        live.run(0.5)
+        answer_poll(live, 3, entry(2), entry(3))
+    assert live.daemon.names.version == 3
+    live.watch.say(line(4, entry(2, "terminating")))  # and its changes are heard
+    assert live.daemon.names.version == 4
+    polls = len(live.discovery)
+    live.run(2.0)
+    assert len(live.discovery) == polls
+
+
+def test_an_outdated_list_among_newer_ones_is_not_believed(live):
+    live.watch.say(HEAD + line(40, entry(1), entry(2), full=True))
+    for version in range(41, 51):
+        live.watch.say(line(3, entry(3), full=True))
+        live.run(1.0)
+        answer_poll(live, version, entry(1), entry(2))
+    assert live.daemon.names.version == 50
+
+
+def test_an_older_change_alone_is_never_believed(live):
+    live.watch.say(HEAD + line(40, entry(1), entry(2), full=True))
+    for _ in range(10):
+        live.watch.say(line(3, entry(1, "terminating")))
+        live.run(1.0)
+    assert live.daemon.names.version == 40
+    assert states(live)[1] is routing.EndpointStatus.IN_SERVICE
