Extended-protocol statements are refused before they are planned

Callers: under a flood the router planned what admission then refused; the simple protocol asked first. Cause: Parse planned at once. Parse asks where the Bind behind it has come, with its values, by which a reservation is kept.

--- a/tansycrank/postgres/server/extended_query.py
+++ b/tansycrank/postgres/server/extended_query.py
@@ -82,10 +82,11 @@
         self._describe_portal(portal_name)
         return True
 
-    def handle(self, message: object) -> None:
-        """Handle one message of a batch. Raises PgError."""
+    def handle(self, message: object, queue: MessageQueue) -> None:
+        """Handle one message of a batch; `queue` holds those behind it. Raises PgError."""
         match message:
             case pg.Parse():
+                self._reject_early(message, queue)
                 self._parse(message)
             case pg.Bind():
                 self._bind(message)
@@ -107,6 +108,19 @@
 
     # --- Parse, Bind, Close
 
+    def _reject_early(self, message: pg.Parse, queue: MessageQueue) -> None:
+        """Reject a statement before it is planned, where the Bind behind it tells its values."""
+        following = queue.peek() if queue else None
+        if not isinstance(following, pg.Bind) or following.statement != message.name:
+            return
+        context = self._context
+        _, sql = context.split_statement(message.sql)
+        rejection = context.service.reject_early(
+            sql, context.caller, context.settings, following.values
+        )
+        if rejection is not None:
+            raise rejection
+
     def _parse(self, message: pg.Parse) -> None:
         context = self._context
         context.statements.check_name(message.name)
--- a/tansycrank/postgres/server/session.py
+++ b/tansycrank/postgres/server/session.py
@@ -271,7 +271,7 @@
             if isinstance(message, pg.Query):
                 self._simple_query.handle(message.sql)
             else:
-                self._extended_query.handle(message)
+                self._extended_query.handle(message, self._queue)
         except PgError as error:
             if error.is_fatal:
                 raise
--- a/tansycrank/sql_router/service.py
+++ b/tansycrank/sql_router/service.py
@@ -194,12 +194,17 @@
             request, settings, 3 * index + form, len(requests), remaining, start, done
         )
 
-    def reject_early(self, sql: str, caller: Caller, settings: Mapping[str, str]) -> PgError | None:
-        """A refusal without understanding the statement, where its tenant's turn is too far off
-        anyway.
+    def reject_early(
+        self,
+        sql: str,
+        caller: Caller,
+        settings: Mapping[str, str],
+        values: tuple[bytes | None, ...] = (),
+    ) -> PgError | None:
+        """Reject a statement before it is planned, if its tenant's turn is too far off anyway.
 
-        Danger: under a flood, planning what is refused in the end would take all of the router's
-        time.
+        `values` are its parameters, by which a reservation knows it. Under a flood, planning what
+        is rejected in the end would take all of the router's time.
         """
         if not STORE_STATEMENT.match(sql):
             return None
@@ -207,7 +212,7 @@
         if not self.admission.may_reject(caller_id.tenant):
             return None
         index = class_index(self.config.classes, sql, settings)
-        mark, remaining = query_hash(caller_id, sql, ()), self._remaining_ms(index, settings)
+        mark, remaining = query_hash(caller_id, sql, values), self._remaining_ms(index, settings)
         return self.admission.reject_early(
             caller_id,
             3 * index + QueryForm.IDEMPOTENT,
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -5,6 +5,7 @@
 from test_planner import TEXT
 
 from tansycrank.postgres import messages as pg
+from tansycrank.postgres.errors import QUERY_REJECTED, PgError
 
 ONE = "SELECT id FROM trips WHERE district = 'a'"
 INSERT = "INSERT INTO trips (id, district) VALUES (1, 'a')"
@@ -91,6 +92,35 @@
     assert got == "12TDDDCZ"
 
 
+@pytest.fixture
+def overloaded(front, monkeypatch):
+    """A front that rejects whatever it can before planning; the parameters that it saw."""
+    seen = []
+
+    def rejected(sql, caller, settings, values=()):
+        seen.append((sql, values))
+        return PgError(QUERY_REJECTED, "too far off")
+
+    monkeypatch.setattr(front.core, "reject_early", rejected)
+    return seen
+
+
+def test_an_extended_statement_is_rejected_before_it_is_planned(front, overloaded, monkeypatch):
+    """Guards against a flood that takes all of the router's time for planning."""
+    monkeypatch.setattr(front.core, "prepare", lambda *_: pytest.fail("planned"))
+    sql = "SELECT id FROM trips WHERE district = $1"
+    messages = front.send(pg.parse(sql, ()), bind(values=[b"a"]), execute(), pg.SYNC_FRAME)
+    assert error_of(messages).state == QUERY_REJECTED
+    assert [kind for kind, _ in messages] == ["E", "Z"]
+    assert overloaded == [(sql, (b"a",))]  # a reservation is kept for these parameters
+
+
+def test_a_statement_that_is_prepared_alone_is_planned(front, overloaded):
+    assert front.kinds(pg.parse(ONE, ()), pg.SYNC_FRAME) == "1Z"
+    assert front.kinds(named_parse("s", ONE), bind(), pg.SYNC_FRAME) != ""
+    assert not overloaded
+
+
 def test_a_portal_is_described_alone_where_no_execute_follows(front):
     assert front.kinds(pg.parse(ONE, ()), bind(), pg.describe("P"), pg.SYNC_FRAME) == "12TZ"
 
