Time in the queue of a full router and behind unread answers is taken off a deadline

Callers: nodes were told up to the whole deadline of a request that had lain unread (1476 ms told, 500 left). Cause: deadlines were counted from the reading. Tests red before: 0.4 and 1.0 s in the queue of a full router, 0.4 s behind answers that are not read.

--- a/tansycrank/http_router/client_connection.py
+++ b/tansycrank/http_router/client_connection.py
@@ -21,6 +21,7 @@
     ParsedRequest,
     RequestParser,
 )
+from tansycrank.listening import seconds_since_data
 from tansycrank.routing import FailureReason
 
 READY_PATH = b"/-/ready"
@@ -58,6 +59,7 @@
     query: ActiveQuery | None = None
     is_query: bool = False  # a request for a query, whatever its answer
     unadmitted: QueryRequest | None = None  # read, and not admitted yet
+    arrived_at: float = 0.0  # s: when it could have been read
 
 
 @implementer(IPushProducer)
@@ -68,8 +70,10 @@
     its own transport's producer, which is paused while the client does not read its answers.
     """
 
-    def __init__(self, server: ConnectionServer) -> None:
+    def __init__(self, server: ConnectionServer, queued_since: float | None = None) -> None:
+        """`queued_since` (s): since when it may have waited to be accepted."""
         self.server = server
+        self._queued_since = queued_since
         self.state = ConnectionState.OPEN
         self.pending: deque[PendingAnswer] = deque()
         self.waiting_since = server.now  # s: when what it is being waited for began
@@ -77,7 +81,8 @@
         self.unread_since: float | None = None  # s: when its answers stopped being read
         self._dropped_bytes = 0
         self._unparsed = bytearray()  # what came while answers were not read
-        self._read_at = 0.0  # s: when the last request could have been read
+        self._unparsed_since = 0.0  # s: when the first of it arrived
+        self._arrived_at = 0.0  # s: when the bytes that are parsed could have been read
         self._parser = RequestParser(self)
 
     @property
@@ -104,13 +109,26 @@
             self._discard(data)
         elif self.unread_since is not None:
             # Pausing the transport would hide that the client has left, with requests queued.
+            if not self._unparsed:
+                self._unparsed_since = self._arrival()
             self._unparsed += data
             if len(self._unparsed) > MAX_HEAD + MAX_BODY:
                 self.reject_pending()
                 self._abort("more requests than may wait behind unread answers")
         else:
+            self._arrived_at = self._arrival()
             self._parse(data)
 
+    def _arrival(self) -> float:
+        """When the bytes that were read now could have been read; seconds."""
+        now = self.server.now
+        unread = self.server.overslept()
+        if self._queued_since is not None:  # with its first request it waited to be accepted
+            queued = min(seconds_since_data(self.transport.getHandle()), now - self._queued_since)
+            self._queued_since = None
+            unread = max(unread, queued)
+        return now - unread
+
     def _discard(self, data: bytes) -> None:
         self._dropped_bytes += len(data)
         if self._dropped_bytes > MAX_DROPPED:
@@ -178,7 +196,7 @@
         if not self.server.is_admitting:
             raise RequestRejectedError(503, LEAVING)
         # The time that the request lay unread is no longer left to its client.
-        self._read_at = self.server.now - self.server.overslept()
+        answer.arrived_at = self._arrived_at
         self.server.schedule_admission(self)
 
     def _process_status(self, method: bytes, path: bytes) -> Response:
@@ -201,7 +219,7 @@
             self.flush()
 
         try:
-            waited_ms = (self.server.now - self._read_at) * 1000
+            waited_ms = (self.server.now - answer.arrived_at) * 1000
             answer.query = self.server.coordinator.accept(request, on_response, waited_ms)
         except RequestRejectedError as refusal:
             self._answer_unusable(answer, refusal)
@@ -322,6 +340,7 @@
         """Parse what came meanwhile: the client reads again."""
         self.unread_since = None
         unparsed, self._unparsed = self._unparsed, bytearray()
+        self._arrived_at = self._unparsed_since
         if unparsed and self.state is ConnectionState.OPEN:
             self._parse(bytes(unparsed))
 
--- a/tansycrank/http_router/http_server.py
+++ b/tansycrank/http_router/http_server.py
@@ -52,6 +52,8 @@
         self.closed: Counter[str] = Counter()  # connections that this process closed, by reason
         self.latest = ""  # why a request could not be used
         self.port = None  # the listening port, which a full server pauses
+        self._paused_at: float | None = None  # s: until the queue was emptied after the pause
+        self._times_drained = 0.0  # how often it had been emptied when accepting resumed
         policy = settings.module
         self.retry_after = policy.max_retry_after if policy.can_retry_after else 0.0
 
@@ -62,7 +64,7 @@
 
     def buildProtocol(self, addr) -> ClientConnection:
         """Accept a connection; stop accepting once the server is full."""
-        connection = ClientConnection(self)
+        connection = ClientConnection(self, self._queued_since())
         self.connections[connection] = None
         self.counts["accepted"] += 1
         if self._is_full():
@@ -148,16 +150,29 @@
     def _pause_accepting(self) -> None:
         """Accept no connections for now; they wait in the system's queue."""
         if self.port is not None and not self.draining:
+            if self._queued_since() is None:
+                self._paused_at = self.now
+            self._times_drained = float("inf")  # nothing is accepted until it resumes
             self.counts["paused"] += 1
             self.port.stopReading()
             self.reactor.callLater(RESUME_ACCEPT_AFTER, self._resume_accepting)
 
+    def _queued_since(self) -> float | None:
+        """Since when the connection that is accepted now may have waited in the system's queue.
+
+        None where it did not wait: the queue was emptied since accepting was paused.
+        """
+        if self._paused_at is not None and self.port.times_drained > self._times_drained:
+            self._paused_at = None
+        return self._paused_at
+
     def _resume_accepting(self) -> None:
         if self.draining:
             return
         if self._is_full():
             self.reactor.callLater(RESUME_ACCEPT_AFTER, self._resume_accepting)
         else:
+            self._times_drained = self.port.times_drained
             self.port.startReading()
 
     # --- maintenance and shutdown -----------------------------------------------------
--- a/tansycrank/listening.py
+++ b/tansycrank/listening.py
@@ -10,17 +10,32 @@
 import errno
 import os
 import socket
+import struct
 
 from twisted.internet import tcp
 
 ACCEPT_RETRY_SECONDS = 0.02
 NO_CONNECTION_WAITING = (errno.EAGAIN, errno.EWOULDBLOCK)
+TCP_INFO_BYTES = 104
+LAST_DATA_RECEIVED = struct.Struct("=52xI")  # ms, in Linux's `struct tcp_info`
+
+
+def seconds_since_data(connection: socket.socket) -> float:
+    """Return how long ago the system received data on a connection; 0 where it does not tell."""
+    try:
+        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    except OSError:
+        return 0.0
+    if len(info) < LAST_DATA_RECEIVED.size:
+        return 0.0
+    return LAST_DATA_RECEIVED.unpack_from(info)[0] / 1000
 
 
 class ListeningSocket(socket.socket):
     """A listening socket that remembers whether its last `accept` failed."""
 
     failed = False  # whether the last `accept` failed though a connection may wait
+    times_drained = 0  # how often an `accept` found no connection waiting
 
     def accept(self) -> tuple[socket.socket, object]:
         """Accept a connection; raise OSError, with ENFILE in place of EMFILE.
@@ -32,6 +47,7 @@
             return super().accept()
         except OSError as problem:
             self.failed = problem.errno not in NO_CONNECTION_WAITING
+            self.times_drained += not self.failed
             if problem.errno == errno.EMFILE:
                 raise OSError(errno.ENFILE, os.strerror(errno.EMFILE)) from problem
             raise
@@ -45,6 +61,11 @@
         """Whether a connection may wait that the system did not let this process accept."""
         return self.socket.failed
 
+    @property
+    def times_drained(self) -> int:
+        """How often no further connection waited to be accepted."""
+        return self.socket.times_drained
+
     def createInternetSocket(self) -> ListeningSocket:
         """Return the socket, before it is bound."""
         created = super().createInternetSocket()
--- a/tests/http_router/live.py
+++ b/tests/http_router/live.py
@@ -106,6 +106,13 @@
     return json.dumps(told | more).encode()
 
 
+class SilentSocket:
+    """A socket of which the system tells nothing."""
+
+    def getsockopt(self, *what):
+        raise OSError
+
+
 class Transport(StringTransport):
     """Ends its protocol's connection when told to, as a socket would."""
 
@@ -121,6 +128,9 @@
     def doRead(self):
         """Nothing waits: what a peer says is read at once."""
 
+    def getHandle(self):
+        return SilentSocket()
+
     def registerProducer(self, producer, streaming):
         super().registerProducer(producer, streaming)
         if not streaming:
@@ -225,6 +235,7 @@
 
     reading = True
     starved = False
+    times_drained = 0
 
     def stopReading(self):
         self.reading = False
--- a/tests/http_router/test_unread.py
+++ b/tests/http_router/test_unread.py
@@ -1,10 +1,12 @@
-"""A request that lies unread while the process stands still has that much less time left."""
+"""A request that lies unread has that much less time left: while the process stands still, in the
+queue of a full router, behind answers that its client does not read.
+"""
 
 import time
 
 import pytest
-from live import post
-from real import Node, Program, read_answer
+from live import Live, answer, config, post
+from real import Node, Program, read_answer, until
 
 DEADLINE = 1500  # ms
 WAIT_SLACK = 150  # ms by which a node may be told a longer wait than its client has left
@@ -14,8 +16,8 @@
 def start(tmp_path):
     started = []
 
-    def make(*nodes):
-        started.append(Program(tmp_path, nodes))
+    def make(*nodes, **more):
+        started.append(Program(tmp_path, nodes, **more))
         return started[0]
 
     yield make
@@ -54,3 +56,39 @@
     assert status == 503
     [ids] = program.ended()
     assert not ids
+
+
+@pytest.mark.parametrize("queued", [0.4, 1.0])
+def test_a_node_is_told_what_is_left_of_a_request_that_waited_in_the_queue_of_a_full_router(
+    start, queued
+):
+    node = Node(serves=False)
+    patient = {"aim": 6000.0, "giveUp": 9000.0}
+    few = {"cores": 1.0, "memory_mb": 64, "sockets": 96}  # half of them for clients
+    program = start(node, told={"services": patient, "caps": {"openCap": 1000}}, limits=few)
+    held = [program.client(post(id=f"held{n}", deadline=8000)) for n in range(48)]
+    assert len(held) == 48
+    until(lambda: len(node.ids) >= 4, "the first of them at the node")
+    time.sleep(0.2)  # the router has accepted all that it can hold
+    client = program.client(post(id="late", deadline=DEADLINE))
+    sent = time.monotonic()
+    time.sleep(queued)
+    node.serves = True
+    for connection, id in list(node.shard_requests):
+        connection.sendall(answer(id))
+    read_answer(client)
+    assert time.monotonic() - sent < DEADLINE / 1000 + 0.5
+    if "late.0" in node.waits:
+        assert node.waits["late.0"] <= DEADLINE - queued * 1000 + WAIT_SLACK
+
+
+def test_a_request_behind_answers_that_its_client_does_not_read_loses_that_time():
+    live = Live(config())
+    protocol, _ = live.client()
+    protocol.pauseProducing()
+    protocol.dataReceived(post(id="behind", deadline=900))
+    live.run(0.4)
+    protocol.resumeProducing()
+    live.run(0.0)
+    calls = [call for peer in live.nodes for call in peer.accept().calls()]
+    assert [(id, wait <= 900 - 400) for id, _, wait, _ in calls] == [("behind.0", True)]
