--- a/tests/http_router/test_stalls.py
+++ b/tests/http_router/test_stalls.py
@@ -154,3 +154,22 @@
     program.go_on()
     assert read_answer(client)[0] == 200
     assert time.monotonic() - sent <= DEADLINE / 1000
+
+
+@pytest.mark.parametrize("sent_before", [True, False], ids=["used before", "new"])
+def test_a_client_that_seems_silent_since_the_process_was_stopped_is_answered(start, sent_before):
+    """Guards against a connection that is closed as idle over the request that lies in it."""
+    node = Node()
+    patient = {"aim": 20_000.0, "giveUp": 30_000.0}  # ms
+    program = start(node, more={"services": patient})
+    client = program.client()
+    if sent_before:
+        client.sendall(post(id="warm"))
+        assert read_answer(client)[0] == 200
+    else:
+        program.turned()
+    program.halt()
+    client.sendall(post(id="late", deadline=8000))
+    time.sleep(3.4)  # longer than an idle connection, and one without a request, is kept
+    program.go_on()
+    assert read_answer(client)[0] == 200
