--- a/tansycrank/http_router/settings.py
+++ b/tansycrank/http_router/settings.py
@@ -21,7 +21,7 @@
 # Times of a shutdown, and shares of the descriptors.
 LONGEST = 3_000.0  # ms: a longer deadline counts as this where the platform times a restart
 KILL_AFTER = 700.0  # ms from SIGTERM, on top of the longest deadline: SIGKILL comes no sooner
-KILL_MARGIN = 100.0  # ms before that: what is still open then is given up
+KILL_MARGIN = 150.0  # ms before that: what is still open then is given up
 # ms from SIGTERM: new connections keep coming for 400, and those have a request on its way
 NEW_UNTIL = 500.0
 RESERVE = 64  # descriptors for everything but clients and links
