--- a/tansycrank/sql_router/connection_pool.py
+++ b/tansycrank/sql_router/connection_pool.py
@@ -42,21 +42,21 @@
 
     @classmethod
     def never(cls, endpoint: int, request: ShardStatement) -> OutgoingCall:
-        """One that was not allowed; it has ended."""
+        """Return an ended call that stands for an attempt that was not allowed."""
         return cls(endpoint, request, None, lambda ended: None, None, ended=True)
 
     def untimed(self) -> None:
-        """Its answer has begun to leave for the client: no time-out runs any more."""
+        """Cancel its time-out: its answer has begun to leave for the client."""
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
 
     def on_connected(self) -> None:
-        """It waits for its connection no more."""
+        """Cancel the bound on waiting: it has its connection."""
         if self.connect_timer is not None and self.connect_timer.active():
             self.connect_timer.cancel()
 
     def finish(self, ended: AttemptResult) -> None:
-        """Report, once."""
+        """Report the outcome, once."""
         if self.ended:
             return
         self.ended = True
@@ -67,7 +67,7 @@
 
 @dataclass(slots=True, eq=False)
 class NodePool:
-    """The links of one node."""
+    """The connections of one node."""
 
     host: str
     port: int
@@ -79,7 +79,7 @@
 
 
 class ConnectionPool:
-    """The links of this router. Times of `send` are milliseconds.
+    """The connections of this router. Times of `send` are milliseconds.
 
     `notifications` are read before a shard request leaves.
     """
@@ -100,7 +100,7 @@
         self.later: Callable[[NodeConnection], None] | None = None  # the line of large work
 
     def place(self, endpoint: int, host: str, port: int) -> None:
-        """Where a node is. One that moved gets new links."""
+        """Set the address of a node. One that moved gets new connections."""
         node = self.nodes.get(endpoint)
         if node is not None and (node.host, node.port) == (host, port):
             return
@@ -109,18 +109,18 @@
         self.nodes[endpoint] = NodePool(host, port)
 
     def forget(self, endpoint: int) -> None:
-        """A node is gone: its idle links are closed; links at work finish first."""
+        """Close the idle connections of a node that is gone; busy ones finish first."""
         if endpoint in self.nodes:
             self.close_idle(endpoint)
 
     def close_idle(self, endpoint: int) -> None:
-        """Close the unused links of a node."""
+        """Close the unused connections of a node."""
         node = self.nodes.get(endpoint)
         while node is not None and node.idle:
             node.idle[-1].leave()
 
     def close(self) -> None:
-        """Close all links."""
+        """Close all connections."""
         for node in self.nodes.values():
             self._empty(node)
 
@@ -129,7 +129,7 @@
             connection.leave()
 
     def sweep(self) -> None:
-        """Close links that nobody used for `idle_link_ms`; called now and then."""
+        """Close connections that were unused for `idle_link_ms`; called now and then."""
         border = self.reactor.seconds() - self.store.idle_link_ms / 1000
         for node in self.nodes.values():
             for connection in [one for one in node.idle if one.used < border]:
@@ -176,7 +176,7 @@
         return call
 
     def cancel(self, call: OutgoingCall) -> None:
-        """Stop waiting for a send."""
+        """Stop waiting for a call."""
         self._stop(call, Outcome.CANCELLED, Outcome.NOT_SENT)
 
     def _stop_waiting(self, call: OutgoingCall) -> None:
@@ -198,7 +198,7 @@
         call.finish(AttemptResult(if_not))
 
     def _run(self, connection: NodeConnection, call: OutgoingCall) -> bool:
-        """Write a send to its link; False if it may not begin any more, and ends."""
+        """Write a call to its connection; False if it may not start any more, and ends."""
         now = self.reactor.seconds()
         if call.attempt.start(now * 1000) is not None:
             self.reactor.callLater(0, call.finish, AttemptResult(Outcome.NOT_SENT))
