--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -121,6 +121,12 @@
     assert not play(plan(), bug=bug).passed
 
 
+def test_a_node_is_told_no_longer_wait_than_is_left_though_routers_are_stopped():
+    """Guards against requests that keep the time in which their router was stopped."""
+    report = soak(9, 20.0)
+    assert report.passed, "\n".join(report.details())
+
+
 def test_a_failed_seed_is_told_with_its_first_violation_and_how_to_play_it_again():
     verdict = Verdict([Violation(Invariant.ANSWERED, "r1: no answer", ["1.0 sent"])])
     details = Report(draw(SEED, 20.0), verdict, [], Counter()).details()
