Time in which accept fails is taken off a deadline too

Callers: nodes were told the whole deadline of a request that had waited while accept failed (1489 ms told, 900 left). Test red before (waits for a descriptor for 0.6 s). The port knows since when connections may wait: paused, failed, or the process stood still, until the queue was emptied.

--- a/tansycrank/http_router/http_server.py
+++ b/tansycrank/http_router/http_server.py
@@ -53,8 +53,7 @@
         self.closed: Counter[str] = Counter()  # connections that this process closed, by reason
         self.latest = ""  # why a request could not be used
         self.port = None  # the listening port, which a full server pauses
-        self._paused_at: float | None = None  # s: until the queue was emptied after the pause
-        self._times_drained = 0.0  # how often it had been emptied when accepting resumed
+        self._paused_at = 0.0  # s: when accepting was paused last
         policy = settings.module
         self.retry_after = policy.max_retry_after if policy.can_retry_after else 0.0
 
@@ -151,9 +150,7 @@
     def _pause_accepting(self) -> None:
         """Accept no connections for now; they wait in the system's queue."""
         if self.port is not None and not self.draining:
-            if self._queued_since() is None:
-                self._paused_at = self.now
-            self._times_drained = float("inf")  # nothing is accepted until it resumes
+            self._paused_at = self.now
             self.counts["paused"] += 1
             self.port.stopReading()
             self.reactor.callLater(RESUME_ACCEPT_AFTER, self._resume_accepting)
@@ -161,16 +158,14 @@
     def _queued_since(self) -> float | None:
         """Since when the connection that is accepted now may have waited in the system's queue.
 
-        None where it did not wait: the queue was emptied since accepting was paused, or since this
-        process stood still.
+        None where it did not: accepting was not paused and did not fail, and this process did not
+        stand still, or the queue was emptied since.
         """
         if self.port is None:
             return None
-        if self._paused_at is not None and self.port.times_drained > self._times_drained:
-            self._paused_at = None
-        if self._paused_at is None and (stalled := self.overslept()) > MIN_STALL:
-            self._paused_at, self._times_drained = self.now - stalled, self.port.times_drained
-        return self._paused_at
+        if (stalled := self.overslept()) > MIN_STALL:
+            self.port.note_waiting(self.now - stalled)
+        return self.port.waiting_since
 
     def _resume_accepting(self) -> None:
         if self.draining:
@@ -178,7 +173,7 @@
         if self._is_full():
             self.reactor.callLater(RESUME_ACCEPT_AFTER, self._resume_accepting)
         else:
-            self._times_drained = self.port.times_drained
+            self.port.note_waiting(self._paused_at)
             self.port.startReading()
 
     # --- maintenance and shutdown -----------------------------------------------------
--- a/tansycrank/listening.py
+++ b/tansycrank/listening.py
@@ -61,10 +61,23 @@
         """Whether a connection may wait that the system did not let this process accept."""
         return self.socket.failed
 
+    _waiting_since: float | None = None  # s
+    _times_drained = 0  # of the socket, when connections began to wait
+
     @property
-    def times_drained(self) -> int:
-        """How often no further connection waited to be accepted."""
-        return self.socket.times_drained
+    def waiting_since(self) -> float | None:
+        """Since when a connection that is accepted now may have waited; seconds.
+
+        None once the system's queue was emptied.
+        """
+        if self.socket.times_drained > self._times_drained:
+            self._waiting_since = None
+        return self._waiting_since
+
+    def note_waiting(self, since: float) -> None:
+        """Note that connections wait in the system's queue, unless that is known."""
+        if self.waiting_since is None:
+            self._waiting_since, self._times_drained = since, self.socket.times_drained
 
     def createInternetSocket(self) -> ListeningSocket:
         """Return the socket, before it is bound."""
@@ -76,6 +89,7 @@
         """Accept the waiting connections; pause if the system refuses one."""
         super().doRead()
         if self.connected and self.starved:
+            self.note_waiting(self.reactor.seconds())
             self.stopReading()
             self.reactor.callLater(ACCEPT_RETRY_SECONDS, self._resume_accepting)
 
--- a/tests/http_router/live.py
+++ b/tests/http_router/live.py
@@ -235,7 +235,10 @@
 
     reading = True
     starved = False
-    times_drained = 0
+    waiting_since = None
+
+    def note_waiting(self, since):
+        self.waiting_since = since
 
     def stopReading(self):
         self.reading = False
@@ -260,8 +263,6 @@
         self.daemon = Daemon(self.reactor, configuration.parse(raw or config(), {}), environ or {})
         self.daemon.start()
         self.port = Port()
-        if self.daemon.server.port is not None:
-            self.daemon.server.port = self.port
         self.seen = 0
         self.discovery, self.nodes = [], []
         self.run(0)
@@ -275,6 +276,8 @@
         self.seen = len(self.reactor.tcpClients)
 
     def client(self):
+        if self.daemon.server.port is not None:
+            self.daemon.server.port = self.port
         protocol = self.daemon.server.buildProtocol(None)
         transport = Transport(protocol)
         protocol.makeConnection(transport)
--- a/tests/http_router/test_unread.py
+++ b/tests/http_router/test_unread.py
@@ -2,7 +2,9 @@
 queue of a full router, behind answers that its client does not read.
 """
 
+import resource
 import time
+from pathlib import Path
 
 import pytest
 from live import Live, answer, config, post
@@ -92,3 +94,19 @@
     live.run(0.0)
     calls = [call for peer in live.nodes for call in peer.accept().calls()]
     assert [(id, wait <= 900 - 400) for id, _, wait, _ in calls] == [("behind.0", True)]
+
+
+def test_a_node_is_told_what_is_left_of_a_request_that_waited_for_a_descriptor(start):
+    """Guards against a deadline that is counted anew once `accept` no longer fails."""
+    node = Node()
+    program = start(node)
+    assert read_answer(program.client(post(id="first")))[0] == 200
+    pid = program.process.pid
+    used = len(list(Path(f"/proc/{pid}/fd").iterdir()))
+    limits = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (used, limits[1]))
+    clients = [program.client(post(id=f"late{n}", deadline=DEADLINE)) for n in range(8)]
+    time.sleep(0.6)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, limits)
+    assert [read_answer(client)[0] for client in clients] == [200] * 8
+    assert node.waits["late7.0"] <= DEADLINE - 600 + WAIT_SLACK  # the last to be accepted
