--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,7 @@
 
 import harness  # noqa: E402
 
-BAD_CLIENTS = int(os.environ.get("BAD_CLIENTS", "4"))
+BAD_CLIENTS = int(os.environ.get("BAD_CLIENTS", "6"))
 BODY_BYTES = 60_000_000  # at most, of each bad client
 FIELD_VALUE = b"v" * 2000
 PIECE_BYTES = 65_536  # written at a time
