--- a/tansycrank/http_router/frames.py
+++ b/tansycrank/http_router/frames.py
@@ -75,6 +75,15 @@
         """Whether bytes of an unfinished frame are buffered."""
         return bool(self._buffer)
 
+    @property
+    def partial_answer_id(self) -> bytes:
+        """The id in an unfinished answer; empty if it has not arrived completely."""
+        if self._buffer[LENGTH_BYTES:HEADER_BYTES] != b"A":
+            return b""
+        line_start = bytes(self._buffer[HEADER_BYTES : HEADER_BYTES + MAX_LINE_BYTES])
+        id, space, _ = line_start.partition(b" ")
+        return id if space else b""
+
     def feed(self, data: bytes) -> Iterator[Answer | FrameRejected]:
         """Yield the record of each complete frame; raise FrameError at the first malformed one."""
         self._buffer += data
--- a/tansycrank/http_router/node_connection.py
+++ b/tansycrank/http_router/node_connection.py
@@ -86,6 +86,9 @@
         self._revocation_timer = None
         self._reader = frames.FrameReader()
         self._partial_since = self.last_used
+        # the last answer read, until the bytes behind it show that its length was right
+        self._unconfirmed_answer: frames.Answer | None = None
+        self._others_waited = False  # whether other calls waited when that answer was read
         self._last_received = float("-inf")
 
     @property
@@ -263,32 +266,50 @@
     def dataReceived(self, data: bytes) -> None:
         """Read answers; a malformed stream closes the connection."""
         self._last_received = self._reactor.seconds()
-        had_partial_frame, pending_answer = self._reader.has_partial_frame, None
+        had_partial_frame = self._reader.has_partial_frame
         try:
             for record in self._reader.feed(data):
                 had_partial_frame = False
-                if pending_answer is not None:
-                    self._finish_answered(pending_answer)
-                    pending_answer = None
+                self._confirm_answer()  # a complete frame behind it: its length is right
                 if isinstance(record, frames.FrameRejected):
                     self._log("frame_rejected_by_node", node=self.endpoint, words=record.reason)
                     return self.close()
-                pending_answer = self._require_known_id(record)
-            if pending_answer is not None:
-                self._finish_answered(pending_answer)
+                self._unconfirmed_answer = self._require_known_id(record)
+                self._others_waited = not self.sent_calls.keys() <= {record.id}
         except frames.FrameError as problem:
-            # Malformed bytes after an answer cast doubt on its stated length; it counts only if no
-            # other call is waiting.
-            if pending_answer is not None and self.sent_calls.keys() <= {pending_answer.id}:
-                self._finish_answered(pending_answer)
+            if not self._others_waited:
+                self._confirm_answer()
             return self.fail(problem)
+        if self._is_length_confirmed():
+            self._confirm_answer()
         return self._check_remaining_bytes(had_partial_frame)
 
     def _require_known_id(self, answer: frames.Answer) -> frames.Answer:
-        if answer.id not in self.sent_calls and answer.id not in self.finished_ids:
+        if not self._is_known(answer.id):
             raise frames.FrameError(f"answer to {answer.id[:60]!r}, which is not in flight")
         return answer
 
+    def _is_known(self, id: bytes) -> bool:
+        return id in self.sent_calls or id in self.finished_ids
+
+    def _is_length_confirmed(self) -> bool:
+        """Whether no bytes behind the last answer may belong to its value.
+
+        Where other calls waited, bytes behind it come from a length that is too small, unless they
+        begin another answer. Otherwise they are noise, which does not concern the answer.
+        """
+        return (
+            not self._reader.has_partial_frame
+            or not self._others_waited
+            or self._is_known(self._reader.partial_answer_id)
+        )
+
+    def _confirm_answer(self) -> None:
+        """End the call of the unconfirmed answer, if there is one, with its value."""
+        answer, self._unconfirmed_answer = self._unconfirmed_answer, None
+        if answer is not None:
+            self._finish_answered(answer)
+
     def _check_remaining_bytes(self, had_partial_frame: bool) -> None:
         if self._reader.has_partial_frame:
             if not had_partial_frame:
@@ -344,6 +365,7 @@
         if self.state is ConnectionState.CLOSED:
             return
         self.state = ConnectionState.CLOSED
+        self._unconfirmed_answer = None
         self._owner.on_connection_closed(self)
         self._cancel_revocation_timer()
         sent, self.sent_calls = self.sent_calls, {}
