--- a/tansycrank/http_router/request_parser.py
+++ b/tansycrank/http_router/request_parser.py
@@ -14,7 +14,8 @@
 from tansycrank.http_router.request_codec import RequestRejectedError
 
 MAX_BODY = 64 * 1024  # bytes per request body, as the protocol defines
-MAX_HEAD = 16 * 1024  # bytes per request head
+MAX_HEAD = 16 * 1024  # bytes per request head, including the trailer fields behind its body
+CHUNK_FRAMING = 32  # bytes around the data of a chunk that do not count as head or trailer
 # These headers and all x- headers determine what a request means; a repeated one is ambiguous.
 UNIQUE_HEADERS = (b"host", b"idempotency-key")
 
@@ -68,8 +69,7 @@
         self._url = b""
         self._headers: dict[bytes, bytes] = {}
         self._body = bytearray()
-        self._head_bytes = 0
-        self._is_reading_head = True
+        self._head_bytes = 0  # bytes received that are neither body nor framing of chunks
 
     @property
     def is_mid_request(self) -> bool:
@@ -86,8 +86,7 @@
 
     def feed(self, data: bytes) -> None:
         """Parse bytes; raises RequestRejectedError if the stream cannot be parsed further."""
-        if self._is_reading_head:
-            self._head_bytes += len(data)
+        self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as problem:
@@ -96,8 +95,10 @@
             raise (
                 self._rejection or RequestRejectedError(400, f"not HTTP: {problem}")
             ) from problem
-        if self.is_mid_request and self._is_reading_head and self._head_bytes > MAX_HEAD:
-            raise RequestRejectedError(431, f"a head holds at most {MAX_HEAD} bytes")
+        if self.is_mid_request and self._head_bytes > MAX_HEAD:
+            raise RequestRejectedError(
+                431, f"a head and the trailer fields hold at most {MAX_HEAD} bytes"
+            )
 
     def _reject(self, status: int, message: str) -> None:
         self._rejection = RequestRejectedError(status, message)
@@ -124,7 +125,6 @@
 
     def on_headers_complete(self) -> None:
         """Check the headers before the body is read."""
-        self._is_reading_head = False
         length = self._headers.get(b"content-length", b"0")
         if length.isdigit() and int(length) > MAX_BODY:
             self._reject(413, f"a body holds at most {MAX_BODY} bytes")
@@ -136,9 +136,14 @@
     def on_body(self, body: bytes) -> None:
         """Append a fragment of the body; its total length is unknown if the encoding is chunked."""
         self._body += body
+        self._head_bytes = max(self._head_bytes - len(body), 0)
         if len(self._body) > MAX_BODY:
             self._reject(413, f"a body holds at most {MAX_BODY} bytes")
 
+    def on_chunk_header(self) -> None:
+        """Allow for the framing of a chunk, which is not stored."""
+        self._head_bytes = max(self._head_bytes - CHUNK_FRAMING, 0)
+
     def on_message_complete(self) -> None:
         """Pass the complete request to the handler and reset for the next one."""
         try:
--- /dev/null
+++ b/tests/http_router/test_hostile_clients.py
@@ -0,0 +1,124 @@
+"""Requests that cannot be read, from many clients at once, beside usual clients."""
+
+import contextlib
+import re
+import threading
+import time
+from pathlib import Path
+
+import pytest
+from live import RouterHarness, post, status
+from real import Node, Program, read_answer
+
+MEMORY_LIMIT_MB = 64
+LIMITS = {"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": 256}
+OWED_SECONDS = 3.0  # in which a client is owed an error or a close
+CHUNKED_HEAD = (
+    b"POST /look?obj=7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nX-Request-Id: bad%d\r\n"
+    b"X-Deadline-Ms: 900\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+FIRST_CHUNK = b"5\r\nhello\r\n"
+LARGE_PIECE = 64 * 1024  # bytes sent at a time
+TEXT = b'{"shards":[{"shard":1,"weight":1}],"q":"x"}'
+
+
+@pytest.fixture
+def start(tmp_path):
+    started = []
+
+    def make(*nodes, **more):
+        started.append(Program(tmp_path, nodes, **more))
+        return started[0]
+
+    yield make
+    for program in started:
+        program.kill()
+
+
+def memory_mb(program):
+    """Anonymous resident memory of the program, in MB."""
+    found = re.search(r"RssAnon:\s+(\d+)", Path(f"/proc/{program.process.pid}/status").read_text())
+    return int(found[1]) / 1024
+
+
+class Flood(threading.Thread):
+    """A client that sends pieces at full speed until an error, a close or the end; see `heard`."""
+
+    def __init__(self, program, pieces, limit_bytes=60_000_000):
+        super().__init__(daemon=True)
+        self.connection = program.client()
+        self.connection.settimeout(2 * OWED_SECONDS)
+        self.pieces, self.limit_bytes = pieces, limit_bytes
+        self.sent_bytes, self.heard = 0, None
+        self.start()
+
+    def run(self):
+        with contextlib.suppress(OSError):
+            for piece in self.pieces:
+                self.connection.sendall(piece)
+                self.sent_bytes += len(piece)
+                if self.sent_bytes >= self.limit_bytes:
+                    break
+        with contextlib.suppress(OSError):
+            self.heard = self.connection.recv(4096)
+        self.connection.close()
+
+
+def endless(first, piece):
+    """Pieces without an end."""
+    yield first
+    while True:
+        yield piece
+
+
+def trailer_fields(number):
+    """A request with trailer fields that have names of their own, without an end."""
+    yield CHUNKED_HEAD % number + FIRST_CHUNK + b"0\r\n"
+    name = 0
+    while True:
+        fields = b"".join(b"%x:%b\r\n" % (name + n, b"v" * 2000) for n in range(32))
+        name += 32
+        yield fields
+
+
+ENDLESS = {
+    "trailer fields": trailer_fields,
+    "one trailer field": lambda number: endless(
+        CHUNKED_HEAD % number + FIRST_CHUNK + b"0\r\nx: ", b"v" * LARGE_PIECE
+    ),
+    "a chunk extension": lambda number: endless(CHUNKED_HEAD % number + b"5;", b"v" * LARGE_PIECE),
+    "a header": lambda number: endless((CHUNKED_HEAD % number)[:-2] + b"x: ", b"v" * LARGE_PIECE),
+}
+
+
+@pytest.mark.parametrize("name", ENDLESS)
+def test_endless_parts_of_requests_leave_the_router_under_its_memory_limit(start, name):
+    """Guards against trailer fields without a bound, which took the router over its limit."""
+    program = start(Node(), limits=LIMITS)
+    floods = [Flood(program, ENDLESS[name](number)) for number in range(6)]
+    peak_mb = 0.0
+    while any(flood.is_alive() for flood in floods):
+        peak_mb = max(peak_mb, memory_mb(program))
+        time.sleep(0.01)
+    assert peak_mb < MEMORY_LIMIT_MB and program.process.poll() is None
+    assert read_answer(program.client(post(id="usual")))[0] == 200
+    # an error or a close; the error may be lost in a reset by the bytes behind it
+    assert all(flood.sent_bytes < flood.limit_bytes for flood in floods)
+
+
+def test_a_body_in_chunks_of_a_byte_with_trailer_fields_is_still_read():
+    harness = RouterHarness()
+    padding = b" " * 20_000
+    chunks = b"".join(b"1;e=1\r\n%c\r\n" % byte for byte in TEXT + padding)
+    request = CHUNKED_HEAD % 1 + chunks + b"0\r\nx-checksum: 1\r\n\r\n"
+    harness.send_request(request)
+    assert [id for _, id, _ in harness.take_shard_requests()] == ["bad1.1"]
+
+
+def test_trailer_fields_above_the_limit_of_a_head_are_rejected():
+    harness = RouterHarness()
+    protocol, transport = harness.client()
+    protocol.dataReceived(CHUNKED_HEAD % 1 + FIRST_CHUNK + b"0\r\n")
+    for number in range(10):
+        protocol.dataReceived(b"x-%d: %b\r\n" % (number, b"v" * 2000))
+    assert status(transport.take()) == 431
