--- a/tansycrank/http_router/client_connection.py
+++ b/tansycrank/http_router/client_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -80,6 +81,7 @@
         self.has_completed_request = False
         self.unread_since: float | None = None  # s: since when the client does not read
         self._discarded_bytes = 0
+        self._discarding_since = 0.0  # s: when the stream was found malformed
         self._unparsed = bytearray()  # received while the client did not read
         self._unparsed_since = 0.0  # s: arrival of its first byte
         self._arrived_at = 0.0  # s: when the bytes being parsed became readable
@@ -166,11 +168,22 @@
         answer = PendingAnswer(request.keeps_alive)
         self.has_completed_request = True
         self.pending.append(answer)
+        self._reject_on_error(answer, lambda: self._dispatch(request, answer))
+        self.flush()
+
+    def _reject_on_error(self, answer: PendingAnswer, step: Callable[[], None]) -> None:
+        """Run a step of a request that was not accepted yet; an error is the request's answer.
+
+        Without an answer it would hold its connection, and all answers behind it, for good.
+        """
         try:
-            self._dispatch(request, answer)
+            step()
         except RequestRejectedError as rejection:
             self._answer_rejected(answer, rejection)
-        self.flush()
+        except Exception as error:  # a fault of the router; other requests must not fail too
+            self.server.log("query_admission_failed", error=repr(error), traceback=True)
+            answer.unadmitted = None
+            self._answer_rejected(answer, RequestRejectedError(503, "it could not be taken"))
 
     def _dispatch(self, request: ParsedRequest, answer: PendingAnswer) -> None:
         try:
@@ -218,14 +231,11 @@
             answer.response, answer.query = response, None
             self.flush()
 
-        try:
+        def accept() -> None:
             waited_ms = (self.server.now - answer.arrived_at) * 1000
             answer.query = self.server.coordinator.accept(request, on_response, waited_ms)
-        except RequestRejectedError as rejection:
-            self._answer_rejected(answer, rejection)
-        except Exception as error:  # other queries awaiting admission must not fail too
-            self.server.log("query_admission_failed", error=repr(error), traceback=True)
-            self._answer_rejected(answer, RequestRejectedError(503, "it could not be taken"))
+
+        self._reject_on_error(answer, accept)
 
     def _answer_rejected(self, answer: PendingAnswer, rejection: RequestRejectedError) -> None:
         self.server.on_request_rejected(str(rejection))
@@ -246,12 +256,12 @@
         Called when the connection is no longer read, so a disconnect would go undetected.
         """
         for answer in list(self.pending):
-            if answer.unadmitted is not None:
+            if answer.query is not None:
+                self.server.coordinator.reject(answer.query, FailureReason.UNREADABLE)
+            elif answer.response is None:
                 answer.unadmitted = None
                 rejection = RequestRejectedError(503, "its connection cannot be read any more")
                 self._answer_rejected(answer, rejection)
-            elif answer.query is not None:
-                self.server.coordinator.reject(answer.query, FailureReason.UNREADABLE)
         self.flush()
 
     # --- answers and the end ----------------------------------------------------------
@@ -276,6 +286,7 @@
         self.server.on_request_malformed()
         self.state = ConnectionState.DISCARDING
         response = codec.error_response(rejection.status, str(rejection))
+        self._discarding_since = self.server.now
         if self.pending:  # close after the answers to earlier requests
             self.pending.append(PendingAnswer(keeps_alive=False, response=response))
             self._parser.abandon_request()
@@ -321,6 +332,9 @@
             if now - self.unread_since >= UNREAD_TIMEOUT:
                 self.reject_pending()
                 self._abort("answers not read")
+        elif self.state is ConnectionState.DISCARDING:
+            if now - self._discarding_since >= REQUEST_TIMEOUT:  # the error waits behind answers
+                self.reject_pending()
         elif self._parser.is_mid_request and waited >= REQUEST_TIMEOUT:
             self._reject_and_close(
                 RequestRejectedError(408, f"a request has to come within {REQUEST_TIMEOUT} s")
--- a/tansycrank/http_router/request_codec.py
+++ b/tansycrank/http_router/request_codec.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from tansycrank.errors import TansycrankError
+from tansycrank.json_input import JsonInputError, decode_json
 
 REQUEST_ID = re.compile(r"[0-9A-Za-z_-]{1,64}")
 # no comma or space: the key becomes a list entry in the frame to the data node
@@ -108,9 +109,9 @@
         )
     object_keys = parse_qs(query.decode("ascii", "replace")).get("obj", [""])
     try:
-        decoded = _BODY_DECODER.decode(body)
+        decoded = decode_json(_BODY_DECODER, body)
         text = decoded.q.encode()
-    except ValueError as problem:  # the message of msgspec contains the path
+    except (JsonInputError, UnicodeEncodeError) as problem:  # the message contains the path
         raise RequestRejectedError(400, f"body: {problem}") from problem
     total = _check_shards(decoded.shards, shards)
     # Without scaling, 44 weights of 0.022727 add up to 0.999988 and no answer would be complete.
--- a/tests/http_router/test_hostile_clients.py
+++ b/tests/http_router/test_hostile_clients.py
@@ -1,13 +1,14 @@
 """Requests that cannot be read, from many clients at once, beside usual clients."""
 
 import contextlib
+import json
 import re
 import threading
 import time
 from pathlib import Path
 
 import pytest
-from live import RouterHarness, post, status
+from live import OPERATOR_SETTINGS, RouterHarness, body, config, post, status
 from real import Node, Program, read_answer
 
 MEMORY_LIMIT_MB = 64
@@ -122,3 +123,58 @@
     for number in range(10):
         protocol.dataReceived(b"x-%d: %b\r\n" % (number, b"v" * 2000))
     assert status(transport.take()) == 431
+
+
+NESTED_BODY = '{"shards":[{"shard":0,"weight":1}],"x":%s,"q":"x"}' % ("[" * 2000 + "]" * 2000)
+
+
+def test_bodies_nested_too_deep_get_an_error_and_hold_no_place_of_usual_clients(start):
+    """Guards against requests without an answer, which held their connections for good."""
+    program = start(Node(), limits=LIMITS)
+    bad_clients = [
+        program.client(post(id=f"bad{number}", body=NESTED_BODY)) for number in range(120)
+    ]
+    usual = [program.client(post(id=f"usual{number}")) for number in range(10)]
+    assert [read_answer(client)[0] for client in usual] == [200] * 10
+    assert [read_answer(client)[0] for client in bad_clients] == [400] * 120
+
+
+def test_a_body_nested_too_deep_is_rejected_and_its_connection_stays_usable():
+    harness = RouterHarness()
+    client = harness.client()
+    transport = harness.send_request(post(id="bad", body=NESTED_BODY), client)
+    written = transport.take()
+    assert status(written) == 400 and "nested" in body(written)["error"]
+    harness.send_request(post(id="good"), client)
+    assert [id for _, id, _ in harness.take_shard_requests()] == ["good.0"]
+
+
+def test_a_fault_while_a_request_is_decoded_is_its_answer(monkeypatch):
+    """Guards against an unanswered request in front of the error of its connection."""
+    harness = RouterHarness()
+
+    def fail(*_):
+        raise RuntimeError("injected fault")
+
+    monkeypatch.setattr("tansycrank.http_router.request_codec.decode_query", fail)
+    protocol, transport = harness.client()
+    harness.send_request(post(id="bad") + b"\x16\x03\x01\r\n\r\n", (protocol, transport))
+    written = transport.take()
+    assert status(written) == 503 and written.count(b"HTTP/1.1 ") == 2
+    harness.run(0.5)
+    assert transport.over and not protocol.pending
+
+
+def test_a_malformed_stream_gets_its_error_in_time_behind_a_query_that_is_not_answered():
+    """Guards against an error that waits as long as an earlier query of its connection."""
+    settings = json.loads(json.dumps(OPERATOR_SETTINGS))
+    for service in settings["services"]:
+        service.update(aim=6000.0, giveUp=9000.0)
+    harness = RouterHarness(config(settings=settings))
+    transport = harness.send_request(post(id="slow", deadline=8000) + b"\x16\x03\r\n\r\n")
+    assert harness.take_shard_requests()
+    harness.run(0.1)
+    assert not transport.take()
+    harness.run(OWED_SECONDS - 0.1)
+    written = transport.take()
+    assert written.count(b"HTTP/1.1 ") == 2 and b"400" in written and transport.over
