Clients: a bound on the bytes that all connections hold together

What callers would see: the router goes over its memory limit and is killed, with all that it holds.

Answers that clients do not read were bounded in time alone.

Change: ByteBudget. A connection reports what it holds of requests read, waiting and running, and of answers not sent; above an eighth of memory_mb the connection that holds the most is rejected (503, or failed where a request may have run) and closed. Usual connections hold some KB.

Test, on a real process with 64 MB: 100 connections send 32 requests of 60 kB each while it is stopped.

--- a/tansycrank/http_router/client_connection.py
+++ b/tansycrank/http_router/client_connection.py
@@ -4,7 +4,6 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum
 
 import httptools
@@ -13,9 +12,9 @@
 from zope.interface import implementer
 
 from tansycrank.http_router import request_codec as codec
-from tansycrank.http_router.active_query import ActiveQuery
 from tansycrank.http_router.interfaces import ConnectionServer
-from tansycrank.http_router.request_codec import QueryRequest, RequestRejectedError, Response
+from tansycrank.http_router.pending_answer import PendingAnswer
+from tansycrank.http_router.request_codec import RequestRejectedError, Response
 from tansycrank.http_router.request_parser import (
     MAX_BODY,
     MAX_HEAD,
@@ -51,18 +50,6 @@
 CLOSING_STATES = (ConnectionState.LINGERING, ConnectionState.CLOSING, ConnectionState.CLOSED)
 
 
-@dataclass(slots=True, eq=False)
-class PendingAnswer:
-    """A request whose answer has not been written; queued in request order."""
-
-    keeps_alive: bool  # whether the client may send further requests on this connection
-    response: Response | None = None
-    query: ActiveQuery | None = None
-    is_query: bool = False  # not a status request; set for rejected queries too
-    unadmitted: QueryRequest | None = None  # parsed, awaiting admission
-    arrived_at: float = 0.0  # s: when the request became readable
-
-
 @implementer(IPushProducer)
 class ClientConnection(Protocol):
     """The connection of one client.
@@ -97,6 +84,26 @@
         """Whether it accepts no further requests and writes no further answers."""
         return self.state in CLOSING_STATES
 
+    # --- memory -----------------------------------------------------------------------
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of requests that are read or unanswered, and of answers that were not sent."""
+        if self.state is ConnectionState.CLOSED:
+            return 0
+        unanswered = sum(answer.held_bytes for answer in self.pending)
+        unsent = self.transport.unsent_bytes
+        return self._parser.held_bytes + len(self._unparsed) + unanswered + unsent
+
+    def release_bytes(self) -> None:
+        """Reject the requests of this connection and close it."""
+        self.reject_pending()
+        if self.state is ConnectionState.OPEN and self.unread_since is None:
+            message = "too many bytes of requests are held; this connection has the most"
+            self._reject_and_close(RequestRejectedError(503, message))
+        else:
+            self._abort("too many bytes held")
+
     # --- input ------------------------------------------------------------------------
 
     def connectionMade(self) -> None:
@@ -120,6 +127,7 @@
         else:
             self._arrived_at = self._arrival_time()
             self._parse(data)
+        self.server.held_bytes.update(self)
 
     def _arrival_time(self) -> float:
         """Time in seconds at which the bytes just read became readable."""
@@ -223,6 +231,7 @@
         for answer in [answer for answer in self.pending if answer.unadmitted is not None]:
             self._admit_query(answer)
         self.flush()
+        self.server.held_bytes.update(self)
 
     def _admit_query(self, answer: PendingAnswer) -> None:
         request, answer.unadmitted = answer.unadmitted, None
@@ -230,6 +239,7 @@
         def on_response(response: Response) -> None:
             answer.response, answer.query = response, None
             self.flush()
+            self.server.held_bytes.update(self)
 
         def accept() -> None:
             waited_ms = (self.server.now - answer.arrived_at) * 1000
@@ -287,9 +297,9 @@
         self.state = ConnectionState.DISCARDING
         response = codec.error_response(rejection.status, str(rejection))
         self._discarding_since = self.server.now
+        self._parser.abandon_request()
         if self.pending:  # close after the answers to earlier requests
             self.pending.append(PendingAnswer(keeps_alive=False, response=response))
-            self._parser.abandon_request()
             return
         self.transport.write(codec.encode_response(response, closes=True))
         self._linger()
--- a/tansycrank/http_router/http_server.py
+++ b/tansycrank/http_router/http_server.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.protocol import Factory
 
+from tansycrank.byte_budget import ByteBudget
 from tansycrank.http_router.client_connection import ClientConnection
 from tansycrank.http_router.coordinator import Coordinator
 from tansycrank.http_router.delayed_admission import DelayedAdmission
@@ -47,6 +48,7 @@
         self.connections: dict[ClientConnection, None] = {}  # in order of accept
         # connections that are idle after a query, longest idle first
         self.idle_after_query: dict[ClientConnection, None] = {}
+        self.held_bytes = ByteBudget(settings.max_client_bytes)
         self.delayed_admission = DelayedAdmission(reactor)
         self.ready = False
         self.draining = False
@@ -117,6 +119,7 @@
         self.connections.pop(connection, None)
         self.idle_after_query.pop(connection, None)
         self.delayed_admission.cancel(connection)
+        self.held_bytes.remove(connection)
 
     # --- connection limits ------------------------------------------------------------
 
--- a/tansycrank/http_router/interfaces.py
+++ b/tansycrank/http_router/interfaces.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from tansycrank.byte_budget import ByteBudget
 from tansycrank.http_router.coordinator import Coordinator
 from tansycrank.http_router.settings import Settings
 
@@ -17,6 +18,7 @@
     coordinator: Coordinator
     log: Callable[..., None]
     unread_seconds: Callable[[], float]
+    held_bytes: ByteBudget  # of all its connections
     ready: bool
     draining: bool
     is_admitting: bool
--- a/tansycrank/http_router/request_parser.py
+++ b/tansycrank/http_router/request_parser.py
@@ -76,9 +76,15 @@
         """Whether a request has started and is incomplete."""
         return self.phase is RequestPhase.READING
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes held of the partly read request."""
+        return self._head_bytes + len(self._body) if self.is_mid_request else 0
+
     def abandon_request(self) -> None:
         """Discard the partly read request."""
         self.phase = RequestPhase.BETWEEN_REQUESTS
+        self._reset()
 
     def close(self) -> None:
         """Break the reference cycles with the llhttp parser and the handler."""
--- a/tansycrank/http_router/settings.py
+++ b/tansycrank/http_router/settings.py
@@ -28,6 +28,11 @@
 # share of the descriptors for client connections; the rest is for connections to data nodes
 CLIENT_SHARE = 0.5
 
+# share of the memory limit for bytes that all client connections hold, and for those that all
+# connections to data nodes hold; the objects made of them take several times as much for a moment
+HELD_BYTES_SHARE = 1 / 8
+BYTES_PER_MB = 1024 * 1024
+
 
 class ConfigError(ValueError):
     """An invalid configuration; the message names the field and the problem."""
@@ -122,6 +127,16 @@
         """Maximum number of connections to data nodes."""
         return max(self.sockets - self.max_client_connections - RESERVED_DESCRIPTORS, 8)
 
+    @property
+    def max_client_bytes(self) -> int:
+        """Maximum number of bytes that all client connections hold together."""
+        return int(self.memory_mb * BYTES_PER_MB * HELD_BYTES_SHARE)
+
+    @property
+    def max_node_bytes(self) -> int:
+        """Maximum number of bytes that all connections to data nodes hold together."""
+        return self.max_client_bytes
+
     @property
     def shutdown_timeout(self) -> float:
         """Milliseconds from SIGTERM until every query is answered."""
--- a/tansycrank/listening.py
+++ b/tansycrank/listening.py
@@ -53,9 +53,20 @@
             raise
 
 
+class ClientTransport(tcp.Server):
+    """The transport of an accepted connection."""
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of written bytes that the kernel has not accepted yet."""
+        return len(self.dataBuffer) - self.offset + self._tempDataLen
+
+
 class PausingPort(tcp.Port):
     """A listening port of the reactor that pauses after a failed `accept`."""
 
+    transport = ClientTransport
+
     @property
     def accept_failed(self) -> bool:
         """Whether the last `accept` failed although a connection may be waiting."""
--- a/tests/http_router/live.py
+++ b/tests/http_router/live.py
@@ -122,6 +122,9 @@
         self.protocol, self.over, self.half_closed = protocol, False, False
 
     stuck = False  # whether the kernel accepts no more bytes
+    unsent_bytes = (
+        0  # of written bytes; the kernel accepts all at once unless a test says otherwise
+    )
 
     def setTcpNoDelay(self, enabled):
         pass
--- /dev/null
+++ b/tests/http_router/test_held_bytes.py
@@ -0,0 +1,82 @@
+"""The bytes that all connections of the router hold together, on real processes and in memory."""
+
+import json
+import time
+
+import pytest
+from live import RouterHarness, answer, config, post, status
+from real import Node, Program, read_answer
+from test_hostile_clients import LIMITS, MEMORY_LIMIT_MB, Flood, memory_mb
+
+LARGE_TEXT = "x" * 60_000
+PIPELINED = 32  # requests that a connection may have open
+FEW_DESCRIPTORS = {"cores": 1.0, "memory_mb": 64, "sockets": 96}  # 48 client connections
+MAX_CLIENTS = 48
+CLOSE_WITHIN_SECONDS = 12.0  # 3 s unused, then 5 s for the client to read, and slack
+ESTABLISHED = "01"
+STEADY_CHECKS = 40  # of 0.1 s
+STATUS_REQUEST = b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+@pytest.fixture
+def start(tmp_path):
+    started = []
+
+    def make(*nodes, **more):
+        started.append(Program(tmp_path, nodes, **more))
+        return started[0]
+
+    yield make
+    for program in started:
+        program.kill()
+
+
+def large_request(id, text=LARGE_TEXT):
+    body = json.dumps({"shards": [{"shard": 0, "weight": 1}], "q": text})
+    return post(id=id, body=body, deadline=1900)
+
+
+def test_large_requests_of_many_connections_leave_the_router_under_its_memory_limit(start):
+    """Guards against limits of each connection whose sum is above the memory of the process."""
+    program = start(Node(), limits=LIMITS)
+    program.suspend()  # until all requests lie in the kernel, so that each read is followed by more
+    floods = [
+        Flood(program, [large_request(f"f{number}-{n}") for n in range(PIPELINED)])
+        for number in range(100)
+    ]
+    time.sleep(1.0)
+    program.resume()
+    peak_mb = 0.0
+    while any(flood.is_alive() for flood in floods):
+        peak_mb = max(peak_mb, memory_mb(program))
+        time.sleep(0.01)
+    assert peak_mb < MEMORY_LIMIT_MB and program.process.poll() is None
+    assert all(flood.heard for flood in floods)
+    assert read_answer(program.client(post(id="usual")))[0] == 200
+
+
+def test_the_connection_that_holds_the_most_is_rejected_and_others_are_served():
+    limits = {"cores": 1.0, "memory_mb": 1, "sockets": 128}  # 128 KiB for all clients
+    harness = RouterHarness(config(limits=limits))
+    small = harness.send_request(post(id="small"))
+    large_protocol, large = harness.client()
+    large_protocol.dataReceived(large_request("large")[:50_000])
+    [(peer, id, _)] = harness.take_shard_requests()
+    for n in range(8):
+        protocol, _transport = harness.client()
+        protocol.dataReceived(large_request(f"other{n}")[:20_000])
+    assert status(large.take()) == 503 and large.half_closed
+    peer.send(answer(id))
+    harness.run(0)
+    assert status(small.take()) == 200
+    server = harness.daemon.server
+    assert server.held_bytes.held_bytes <= server.held_bytes.limit_bytes
+
+
+def test_nothing_is_counted_of_connections_that_have_closed():
+    harness = RouterHarness()
+    for n in range(5):
+        protocol, transport = harness.client()
+        protocol.dataReceived(large_request(f"r{n}")[:40_000])
+        transport.end()
+    assert harness.daemon.server.held_bytes.held_bytes == 0
