Data nodes: a bound on the bytes that all connections hold together

Cause: one unfinished frame of 66 KB and one frame to a node that does not read may be held by each of hundreds of connections; nothing bounded their sum.

Test, in memory: three unfinished frames above the bound. Before: nothing is closed (no such bound); after: the largest closes, the others go on.

--- a/tansycrank/http_router/connection_pool.py
+++ b/tansycrank/http_router/connection_pool.py
@@ -7,9 +7,11 @@
 
 from collections.abc import Callable
 
+from tansycrank.byte_budget import ByteBudget
 from tansycrank.http_router import frames
 from tansycrank.http_router.endpoint_connections import EndpointConnections
-from tansycrank.http_router.node_connection import ConnectionLimits, NodeConnection
+from tansycrank.http_router.node_connection import NodeConnection
+from tansycrank.http_router.node_connection_interfaces import ConnectionLimits
 from tansycrank.http_router.outgoing_call import OutcomeCallback, OutgoingCall
 from tansycrank.lifecycle import Attempt
 from tansycrank.pending_notifications import PendingNotifications
@@ -39,6 +41,7 @@
         max_connections: int,
         log: Callable[..., None],
         drain_grace_ms: float = float("inf"),
+        max_held_bytes: float = float("inf"),
     ) -> None:
         """Create an empty pool; `idle_ms` is the time after which nodes close idle connections."""
         self.reactor, self.log = reactor, log
@@ -50,6 +53,7 @@
             connect_timeout=connect_timeout_ms / 1000,
             revoked_frame_timeout=min(REVOKED_FRAME_TIMEOUT_SECONDS, drain_grace_ms / 2000),
             idle_timeout=IDLE_TIMEOUT_FRACTION * (idle_ms / 1000),
+            held_bytes=ByteBudget(max_held_bytes),
         )
         self.endpoints: dict[int, EndpointConnections] = {}
         self.connections: set[NodeConnection] = set()  # including those of removed endpoints
--- a/tansycrank/http_router/daemon.py
+++ b/tansycrank/http_router/daemon.py
@@ -83,6 +83,7 @@
             settings.max_node_connections,
             log,
             settings.module.drain_grace,
+            settings.max_node_bytes,
         )
         self.discovery = DiscoveryClient(reactor, *settings.discovery, self)
         self.pool.notifications = PendingNotifications(reactor, self.discovery.read_available)
--- a/tansycrank/http_router/frames.py
+++ b/tansycrank/http_router/frames.py
@@ -75,6 +75,11 @@
         """Whether bytes of an unfinished frame are buffered."""
         return bool(self._buffer)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of buffered bytes of an unfinished frame."""
+        return len(self._buffer)
+
     @property
     def partial_answer_id(self) -> bytes:
         """The id in an unfinished answer; empty if it has not arrived completely."""
--- a/tansycrank/http_router/node_connection.py
+++ b/tansycrank/http_router/node_connection.py
@@ -7,9 +7,7 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum, auto
-from typing import Protocol
 
 from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import Protocol as TwistedProtocol
@@ -17,6 +15,7 @@
 from zope.interface import implementer
 
 from tansycrank.http_router import frames
+from tansycrank.http_router.node_connection_interfaces import ConnectionLimits, ConnectionOwner
 from tansycrank.http_router.outgoing_call import OutgoingCall
 from tansycrank.pending_notifications import PendingNotifications
 from tansycrank.routing import Outcome
@@ -35,22 +34,6 @@
     CLOSED = auto()
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionLimits:
-    """Time limits in seconds, shared by all connections of a pool."""
-
-    connect_timeout: float
-    revoked_frame_timeout: float  # for sending the rest of a frame with a revoked call
-    idle_timeout: float  # after which an idle connection is closed
-
-
-class ConnectionOwner(Protocol):
-    """The interface that a connection requires of its owner."""
-
-    def on_connection_closed(self, connection: NodeConnection) -> None:
-        """Remove the connection; called once, before its calls are ended."""
-
-
 @implementer(IPullProducer)
 class NodeConnection(TwistedProtocol):
     """One connection and the calls on it.
@@ -82,6 +65,7 @@
         self._queued: deque[list[OutgoingCall]] = deque()
         self._may_write = False  # whether the kernel has accepted all bytes written so far
         self._has_frame_started = False  # whether the kernel has accepted a byte of the last frame
+        self._unsent_bytes = 0  # of the last frame, until the kernel has accepted it completely
         self._is_requeued = False  # the last frame was queued again: its age is no longer limited
         self._revocation_timer = None
         self._reader = frames.FrameReader()
@@ -125,6 +109,19 @@
         """Whether an answer to one of these ids may still arrive on this connection."""
         return bool(ids & self.sent_calls.keys() or ids & self.finished_ids.keys())
 
+    # --- memory -----------------------------------------------------------------------
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of an unfinished frame from the node, and of a frame to it that was not sent."""
+        if self.state is ConnectionState.CLOSED:
+            return 0
+        return self._reader.buffered_bytes + self._unsent_bytes
+
+    def release_bytes(self) -> None:
+        """Close the connection; calls that were sent may have been executed."""
+        self.fail(frames.FrameError("too many bytes held; this connection has the most"))
+
     # --- writing ----------------------------------------------------------------------
 
     def connectionMade(self) -> None:
@@ -138,7 +135,7 @@
 
     def resumeProducing(self) -> None:
         """Write the next frame; called when the kernel has accepted all bytes written so far."""
-        self._may_write, self.calls_in_transmission = True, []
+        self._may_write, self.calls_in_transmission, self._unsent_bytes = True, [], 0
         self._cancel_revocation_timer()
         self._write_frames()
 
@@ -241,8 +238,9 @@
                 self.sent_calls.update((call.id, call) for call in calls)
                 data = frames.encode_call(_to_shard_call(call, now) for call in calls)
             self.last_used, self._may_write, self.calls_in_transmission = now, False, calls
-            self._has_frame_started = False
+            self._has_frame_started, self._unsent_bytes = False, len(data)
             self.transport.write(data)
+        self._limits.held_bytes.update(self)
 
     def _can_write(self) -> bool:
         return self.state is ConnectionState.ESTABLISHED and self._may_write
@@ -282,7 +280,9 @@
             return self.fail(problem)
         if self._is_length_confirmed():
             self._confirm_answer()
-        return self._check_remaining_bytes(had_partial_frame)
+        self._check_remaining_bytes(had_partial_frame)
+        self._limits.held_bytes.update(self)
+        return None
 
     def _require_known_id(self, answer: frames.Answer) -> frames.Answer:
         if not self._is_known(answer.id):
@@ -367,6 +367,7 @@
         self.state = ConnectionState.CLOSED
         self._unconfirmed_answer = None
         self._owner.on_connection_closed(self)
+        self._limits.held_bytes.remove(self)
         self._cancel_revocation_timer()
         sent, self.sent_calls = self.sent_calls, {}
         queued, self._queued = self._queued, deque()
--- a/tests/http_router/test_held_bytes.py
+++ b/tests/http_router/test_held_bytes.py
@@ -7,6 +7,10 @@
 from live import RouterHarness, answer, config, post, status
 from real import Node, Program, read_answer
 from test_hostile_clients import LIMITS, MEMORY_LIMIT_MB, Flood, memory_mb
+from test_node_connections import PoolHarness, outcomes
+
+from tansycrank.http_router.connection_pool import ConnectionPool
+from tansycrank.routing import Outcome
 
 LARGE_TEXT = "x" * 60_000
 PIPELINED = 32  # requests that a connection may have open
@@ -80,3 +84,23 @@
         protocol.dataReceived(large_request(f"r{n}")[:40_000])
         transport.end()
     assert harness.daemon.server.held_bytes.held_bytes == 0
+
+
+def test_unfinished_frames_of_all_nodes_together_are_bounded():
+    """Guards against frames of many connections whose sum is above the memory of the process."""
+    harness = PoolHarness()
+    harness.pool = ConnectionPool(
+        harness.reactor, 8, 4, 250.0, 10_000.0, 8, lambda *a, **k: None, max_held_bytes=100_000
+    )
+    harness.pool.set_address(1, "127.0.0.1", 7070)
+    harness.send("a.1")
+    harness.send("b.1")
+    harness.send("c.1")
+    first, second, third = (peer.accept() for peer in harness.peers)
+    first.send(answer("a.1", value=LARGE_TEXT)[:-1])
+    second.send(answer("b.1", value=LARGE_TEXT)[:30_000])
+    assert outcomes(harness) == {}
+    third.send(answer("c.1", value=LARGE_TEXT)[:30_000])
+    assert outcomes(harness) == {"a.1": [Outcome.CONNECTION_LOST]} and first.transport.over
+    second.send(answer("b.1", value=LARGE_TEXT)[30_000:])
+    assert outcomes(harness)["b.1"] == [Outcome.SUCCEEDED]
