Clients: a connection with unsent answers is not evicted, and so not forgotten

What callers would see: a full router runs out of descriptors.

Cause: a full router closes an unused connection for a new one and forgets it at once. The close waits for the last answer to leave. A client that reads nothing, with less than the 64 KiB in the router's buffer from which it counts as slow, held its descriptor as long as it liked: no time-out looks at what is forgotten.

Change: a connection with bytes that the kernel has not taken is no candidate; its usual time-outs end it.

Test, on a real process: a client that reads none of its 60 kB answers, 56 other connections.

--- a/tansycrank/http_router/http_server.py
+++ b/tansycrank/http_router/http_server.py
@@ -133,7 +133,8 @@
         """Close one idle connection: the oldest without any request, else the longest idle.
 
         Connections that were just accepted or answered are not evicted: their request or answer
-        may be in transit.
+        may be in transit. Nor are those with answers that the client does not read: they would hold
+        their descriptors, unknown to the server, as long as it does not.
         """
         now = self.now
         candidates = [one for one in self.connections if self._may_be_evicted(one, now)]
@@ -149,7 +150,7 @@
 
     @staticmethod
     def _may_be_evicted(connection: ClientConnection, now: float) -> bool:
-        if not connection.is_idle or connection.unread_since is not None:
+        if not connection.is_idle or connection.transport.unsent_bytes:
             return False
         was_used = connection.has_completed_request
         limit = MIN_IDLE_AFTER_ANSWER if was_used else FIRST_REQUEST_GRACE
--- a/tests/http_router/test_held_bytes.py
+++ b/tests/http_router/test_held_bytes.py
@@ -1,11 +1,14 @@
 """The bytes that all connections of the router hold together, on real processes and in memory."""
 
+import contextlib
 import json
+import socket
 import time
+from pathlib import Path
 
 import pytest
 from live import RouterHarness, answer, config, post, status
-from real import Node, Program, read_answer
+from real import Node, Program, read_answer, wait_until
 from test_hostile_clients import LIMITS, MEMORY_LIMIT_MB, Flood, memory_mb
 from test_node_connections import PoolHarness, outcomes
 
@@ -86,6 +89,69 @@
     assert harness.daemon.server.held_bytes.held_bytes == 0
 
 
+class LargeAnswerNode(Node):
+    """A node whose values have 60 kB."""
+
+    def _record_frame(self, connection, kind, payload):
+        self.serves = False
+        super()._record_frame(connection, kind, payload)
+        if kind == b"Q":
+            connection.sendall(answer(self.shard_requests[-1][1], value=LARGE_TEXT))
+
+
+def tcp_row(local_port, remote_port):
+    """State and queued bytes of a TCP socket of this machine: (state, tx, rx), None if gone."""
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        fields = line.split()
+        ports = [int(address.rpartition(":")[2], 16) for address in fields[1:3]]
+        if ports == [local_port, remote_port]:
+            queued = [int(part, 16) for part in fields[4].split(":")]
+            return fields[3], *queued
+    return None
+
+
+def kernel_bytes(program, client):
+    """Bytes of answers that the kernel holds for a client that does not read."""
+    client_port = client.getsockname()[1]
+    return tcp_row(program.port, client_port)[1] + tcp_row(client_port, program.port)[2]
+
+
+def fill_until_the_kernel_takes_no_more(program, client):
+    """Send requests whose answers are not read, until a part of one stays in the program."""
+    for n in range(200):
+        before = kernel_bytes(program, client)
+        client.sendall(large_request(f"unread{n}", "q"))
+        program.nodes[0].wait_for_shard_request(f"unread{n}.0")
+        for _ in range(STEADY_CHECKS):
+            if kernel_bytes(program, client) - before >= len(LARGE_TEXT):
+                break
+            time.sleep(0.1)
+            client.sendall(STATUS_REQUEST)  # the connection does not become unused meanwhile
+        else:  # the kernel's buffer grows no more
+            return
+    raise AssertionError("the kernel took all answers")
+
+
+def test_a_connection_whose_client_reads_nothing_is_closed_though_others_take_its_place(start):
+    """Guards against evicted connections that stay open for good, unknown to the server."""
+    program = start(LargeAnswerNode(), limits=FEW_DESCRIPTORS)
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    client.connect(("127.0.0.1", program.port))
+    fill_until_the_kernel_takes_no_more(program, client)
+    with contextlib.ExitStack() as others:
+        for _ in range(MAX_CLIENTS + 8):
+            others.enter_context(program.client())
+        time.sleep(0.3)
+    client_port, begun = client.getsockname()[1], time.monotonic()
+    wait_until(
+        lambda: (tcp_row(program.port, client_port) or [""])[0] != ESTABLISHED,
+        "the router to close the connection",
+    )
+    assert time.monotonic() - begun < CLOSE_WITHIN_SECONDS
+    assert read_answer(program.client(post(id="usual")))[0] == 200
+
+
 def test_unfinished_frames_of_all_nodes_together_are_bounded():
     """Guards against frames of many connections whose sum is above the memory of the process."""
     harness = PoolHarness()
