Discovery: bounds on heads, unfinished documents and the nodes of all lists

Head and trailer fields of a response had no bound but 2 s; an unfinished document was kept as a list of lines, many times its 4 MiB where lines are short; changes could add nodes without end, with ids of any length.

Change: what is neither body nor framing of chunks counts against 16 KiB; an unfinished document is one buffer; new nodes above 10,000, or with an id above 256 characters, are left out and logged (above_limit).

Test: test_hostile_discovery.py. Before: 4 of its cases fail in memory; the two on a real process passed before too, since 2 s of such bytes stayed under 64 MB.

--- a/tansycrank/http_router/discovery_exchange.py
+++ b/tansycrank/http_router/discovery_exchange.py
@@ -22,6 +22,8 @@
 EXCHANGE_TIMEOUT_SECONDS = 2.0  # for a whole poll, and for the response headers of a watch
 HEARTBEAT_TIMEOUT_SECONDS = 3.0  # between lines on a watch; discovery sends a heartbeat every 2 s
 HTTP_OK = 200
+MAX_HEAD_BYTES = 16 * 1024  # of a response's head, and of the trailer fields behind its body
+CHUNK_FRAMING_BYTES = 32  # bytes around the data of a chunk that do not count as head or trailer
 BODY_LENGTH_HEADERS = (b"content-length", b"transfer-encoding")
 
 
@@ -56,6 +58,7 @@
         self._request, self._listener = request, listener
         self._parser = httptools.HttpResponseParser(self)
         self._buffer = bytearray()
+        self._head_bytes = 0  # bytes received that are neither body nor framing of chunks
         self._reader = DocumentReader()
         self._has_ok_status = False  # whether the response has status 200
         self._has_body_length = False  # otherwise the body ends with the connection
@@ -76,10 +79,13 @@
         self.chunks_received += 1
         if self.ended:
             return
+        self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.end(False)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self.end(False)
 
     def connectionLost(self, reason=connectionDone) -> None:
         """End the exchange; a body without a length is complete only after an orderly close."""
@@ -110,8 +116,13 @@
         if self.is_watch and not self.ended:
             self._timer.reset(HEARTBEAT_TIMEOUT_SECONDS)
 
+    def on_chunk_header(self) -> None:
+        """Allow for the framing of a chunk, which is not stored."""
+        self._head_bytes = max(self._head_bytes - CHUNK_FRAMING_BYTES, 0)
+
     def on_body(self, body: bytes) -> None:
         """Process the complete lines of a watch, or buffer the body of a poll."""
+        self._head_bytes = max(self._head_bytes - len(body), 0)
         if not self._has_ok_status or self.ended:
             return
         self._buffer += body
--- a/tansycrank/http_router/document_reader.py
+++ b/tansycrank/http_router/document_reader.py
@@ -31,9 +31,10 @@
     """Joins lines into documents; an indented document spans several lines."""
 
     def __init__(self) -> None:
-        self._lines: list[bytes] = []
+        # One buffer: a list of lines of a byte each would take many times their bytes.
+        self._document = bytearray()
+        self._line_count = 0
         self._depth = 0  # of open brackets
-        self._size = 0  # bytes
 
     def feed(self, line: bytes) -> EndpointListDocument | None:
         """Return the document that this line completes, else None.
@@ -43,28 +44,28 @@
         """
         line = line.strip()
         if not line:
-            if self._lines:
+            if self._line_count:
                 raise DocumentError("empty line within a JSON document")
             return None
         self._append(line)
         if self._depth > 0:
             self._check_unfinished()
             return None
-        complete = b"\n".join(self._lines)
-        self._lines, self._depth, self._size = [], 0, 0
+        complete, self._document = self._document, bytearray()
+        self._line_count = self._depth = 0
         return decode_document(complete)
 
     def _append(self, line: bytes) -> None:
         for token in _STRING_OR_BRACKET.findall(line):
             self._depth += (token in b"{[") - (token in b"}]")
-        self._lines.append(line)
-        self._size += len(line)
+        self._document += line + b"\n"
+        self._line_count += 1
 
     def _check_unfinished(self) -> None:
-        if self._size > MAX_DOCUMENT_BYTES:
+        if len(self._document) > MAX_DOCUMENT_BYTES:
             raise DocumentError("unfinished JSON document is too long")
-        if len(self._lines) == 1:
-            _check_beginning(self._lines[0])
+        if self._line_count == 1:
+            _check_beginning(self._document)
 
 
 def _check_beginning(line: bytes) -> None:
--- a/tansycrank/http_router/endpoint_directory.py
+++ b/tansycrank/http_router/endpoint_directory.py
@@ -24,6 +24,9 @@
 STATUS_OF_UNKNOWN_STATE = EndpointStatus.DRAINING  # it may not accept new requests
 START_OF_REMOVED = Start(LONG_AGO, FIRST_INCARNATION)
 REMOVED_RETENTION_MS = 60_000.0  # within which a returning node keeps its number
+# Nodes that are known at most, those removed recently included: several times the largest fleet.
+MAX_NODES = 10_000
+MAX_ID_LENGTH = 256  # characters of a node's id
 MAX_EXAMPLE_LENGTH = 40  # characters of a value shown in the log
 
 
@@ -84,8 +87,17 @@
             problems["unknown_states"] = _count_and_example(unknown_states)
         if duplicates:
             problems["named_twice"] = _count_and_example(duplicates)
+        new_ids = [id for id in seen if id not in self._nodes]
+        if above_limit := self._above_limit(new_ids):
+            problems["above_limit"] = _count_and_example(above_limit)
         return problems
 
+    def _above_limit(self, new_ids: list[str]) -> list[str]:
+        """Return the ids of new nodes that are not added: too long, or above `MAX_NODES`."""
+        short_ids = [id for id in new_ids if len(id) <= MAX_ID_LENGTH]
+        accepted = set(short_ids[: max(MAX_NODES - len(self._nodes), 0)])
+        return [id for id in new_ids if id not in accepted]
+
     def apply(
         self, document: EndpointListDocument, kind: EndpointListKind, now: float
     ) -> DirectoryUpdate:
@@ -110,8 +122,13 @@
     def _complete_entries(
         self, document: EndpointListDocument, kind: EndpointListKind
     ) -> list[EndpointDocument]:
-        """Return the last entry of each id, and removals of unlisted nodes unless it is a delta."""
+        """Return the last entry of each id, and removals of unlisted nodes unless it is a delta.
+
+        New nodes above the limits are left out.
+        """
         by_id = {entry.id: entry for entry in document.servers}
+        for id in self._above_limit([id for id in by_id if id not in self._nodes]):
+            del by_id[id]
         entries = list(by_id.values())
         if kind is not EndpointListKind.DELTA:
             entries += [EndpointDocument(id, TERMINATED) for id in self._nodes if id not in by_id]
