Discovery and configuration: no error of a decoder other than the one caught

What callers would see: a router that goes on with an old endpoint list, drains included: one address such as 127.0.0.1:² raised ValueError of int where ConfigError was caught, and the whole list was dropped, again with each new one. A polled list nested too deep ended by its time-out alone. SIGHUP with a configuration nested too deep, or with an integer above the largest float, logged no configuration_rejected.

Cause: str.isdigit is true for what int does not take, int refuses more than 4,300 digits, decoders raise RecursionError, math.isfinite OverflowError: each caller caught what it knew of.

Change: addresses are matched by a pattern with bounds; documents and configuration are decoded by decode_json; both errors of numbers are ValueErrors with the path. state_reported counts over_held_bytes.

Test: test_hostile_discovery.py.

--- a/tansycrank/http_router/daemon.py
+++ b/tansycrank/http_router/daemon.py
@@ -306,6 +306,7 @@
             "state_reported",
             **self.coordinator.counts,
             **self.server.counts,
+            over_held_bytes=self.server.held_bytes.releases,
             outcomes=self.coordinator.outcomes,
             **self.coordinator.lifecycle.counters(),
             closed=self.server.closed,
--- a/tansycrank/http_router/document_reader.py
+++ b/tansycrank/http_router/document_reader.py
@@ -8,6 +8,7 @@
 
 from tansycrank.errors import TansycrankError
 from tansycrank.http_router.settings import EndpointListDocument
+from tansycrank.json_input import JsonInputError, decode_json
 
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
 
@@ -22,8 +23,8 @@
 def decode_document(data: bytes) -> EndpointListDocument:
     """Decode one complete JSON document; raise DocumentError if it is not valid."""
     try:
-        return _DECODER.decode(data)
-    except ValueError as error:
+        return decode_json(_DECODER, data)
+    except JsonInputError as error:
         raise DocumentError(str(error)) from error
 
 
@@ -71,11 +72,7 @@
 def _check_beginning(line: bytes) -> None:
     """Raise DocumentError if no valid document can begin with this line."""
     try:
-        _DECODER.decode(line)
-    except ValueError as error:
-        if isinstance(error, msgspec.ValidationError) or not _is_truncated(error):
+        decode_json(_DECODER, line)
+    except JsonInputError as error:
+        if not error.is_truncated:
             raise DocumentError(str(error)) from error
-
-
-def _is_truncated(error: ValueError) -> bool:
-    return isinstance(error, msgspec.DecodeError) and "truncated" in str(error)
--- a/tansycrank/http_router/settings.py
+++ b/tansycrank/http_router/settings.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -14,6 +15,7 @@
 import msgspec
 
 from tansycrank import routing
+from tansycrank.json_input import JsonInputError, decode_json
 from tansycrank.operator_settings import parse_settings
 
 # ms: the platform counts longer deadlines as this when it computes the time for a restart
@@ -33,6 +35,9 @@
 HELD_BYTES_SHARE = 1 / 8
 BYTES_PER_MB = 1024 * 1024
 
+MAX_HOST_LENGTH = 255  # characters
+PORT = re.compile(r"[0-9]{1,5}")
+
 
 class ConfigError(ValueError):
     """An invalid configuration; the message names the field and the problem."""
@@ -93,6 +98,10 @@
     caps: _Capabilities
 
 
+_CONFIG_FILE_DECODER = msgspec.json.Decoder(_ConfigFile)
+_CONNECTION_SETTINGS_DECODER = msgspec.json.Decoder(_ConnectionSettings)
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """The validated configuration. `connect_timeout` and `idle_timeout` are in ms."""
@@ -152,9 +161,12 @@
 
 def parse_address(text: str, what: str) -> tuple[str, int]:
     """Parse `host:port`; `what` names the setting in the ConfigError."""
-    host, colon, port = text.rpartition(":")
-    if not (colon and host and port.isdigit() and 0 < int(port) < 65536):
-        raise ConfigError(f"{what}: an address host:port is needed, got {text!r}")
+    host, _, port = text.rpartition(":")
+    # Not `isdigit`: it accepts digits that `int` does not, and numbers too long for it.
+    is_address = 0 < len(host) <= MAX_HOST_LENGTH and PORT.fullmatch(port)
+    if not (is_address and 0 < int(port) < 65536):
+        shown = text[: MAX_HOST_LENGTH + 6]
+        raise ConfigError(f"{what}: an address host:port is needed, got {shown!r}")
     return host.strip("[]"), int(port)
 
 
@@ -176,13 +188,13 @@
 def parse(raw: bytes, environ: Mapping[str, str]) -> Settings:
     """Parse and validate a configuration; a ConfigError names the invalid field."""
     try:
-        file = msgspec.json.decode(raw, type=_ConfigFile)
+        file = decode_json(_CONFIG_FILE_DECODER, raw)
         module = parse_settings(bytes(file.settings).decode())
-    except (ValueError, TypeError) as problem:
+    except (JsonInputError, ValueError, TypeError) as problem:
         raise ConfigError(f"NODE_CONFIG: {problem}") from problem
     try:
-        connections = msgspec.json.decode(file.settings, type=_ConnectionSettings)
-    except ValueError as problem:  # the message of msgspec contains the path, starting with $
+        connections = decode_json(_CONNECTION_SETTINGS_DECODER, file.settings)
+    except JsonInputError as problem:  # the message contains the path, starting with $
         raise ConfigError(f"NODE_CONFIG: {problem}".replace("`$", "`settings")) from problem
     names = [cls.name for cls in connections.services]
     if len(set(names)) < len(names):
--- a/tansycrank/operator_settings.py
+++ b/tansycrank/operator_settings.py
@@ -80,7 +80,7 @@
     """
     try:
         raw = json.loads(settings_json)
-    except json.JSONDecodeError as error:
+    except (ValueError, RecursionError) as error:
         raise ValueError(f"settings: not JSON: {error}") from error
     root = _JsonObject(raw, "settings")
     groups = {
@@ -136,8 +136,14 @@
 
 
 def _number(value: object, path: str) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+    if isinstance(value, bool) or not isinstance(value, int | float):
         raise ValueError(f"{path}: a number is needed, got {value!r:.40}")
+    try:
+        is_finite = math.isfinite(value)
+    except OverflowError:  # an integer above the largest float
+        is_finite = False
+    if not is_finite:
+        raise ValueError(f"{path}: a finite number is needed, got {value!r:.40}")
     return value
 
 
--- a/tests/http_router/test_hostile_discovery.py
+++ b/tests/http_router/test_hostile_discovery.py
@@ -2,15 +2,19 @@
 
 import contextlib
 import json
+import signal
 import time
 
 import pytest
-from live import RouterHarness, entry, post
+from live import RouterHarness, config, entry, post
 from real import Node, Program, read_answer
 from test_discovery import CHUNKED_RESPONSE_HEAD, chunk, endpoint_list_chunk, states
 from test_hostile_clients import LARGE_PIECE, LIMITS, MEMORY_LIMIT_MB, memory_mb
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
 
 from tansycrank.http_router import endpoint_directory
+from tansycrank.http_router import settings as configuration
 from tansycrank.http_router.document_reader import MAX_DOCUMENT_BYTES, DocumentError, DocumentReader
 
 FLOOD_SECONDS = 3.0  # longer than an exchange without an answer may last
@@ -104,6 +108,61 @@
     assert states(live)[1].name == "DRAINING" and len(live.daemon.endpoint_directory) == 50
 
 
+def test_a_document_nested_too_deep_ends_the_watch_and_the_list_stays(live):
+    live.watch.send(CHUNKED_RESPONSE_HEAD + chunk(b'{"version":5,"x":' + NESTED + b"}\n"))
+    live.run(0.5)
+    assert len(live.discovery) == 2 and len(states(live)) == 3
+
+
+def test_a_polled_document_nested_too_deep_ends_the_poll_at_once(live):
+    """Guards against an exchange that ends by its time-out alone, after an error not caught."""
+    live.daemon.discovery.poll_once()
+    live.run(0)
+    poll = live.discovery[1].accept()
+    poll.send(b"HTTP/1.1 200 OK\r\n\r\n" + b'{"version":5,"x":' + NESTED + b"}")
+    poll.protocol.connectionLost(Failure(ConnectionDone()))
+    assert poll.protocol.ended and live.daemon.discovery_failures == 1
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES, ids=["digit", "long port", "long host"])
+def test_a_node_with_an_address_that_is_no_number_keeps_no_change_from_the_others(live, address):
+    """Guards against one odd address that held up every change of the endpoint list."""
+    live.watch.send(
+        CHUNKED_RESPONSE_HEAD
+        + endpoint_list_chunk(5, entry(1, "terminating"), entry(4, addr=address))
+    )
+    live.run(0)
+    assert states(live)[1].name == "DRAINING"
+    assert live.daemon.endpoint_directory.version == 5
+
+
+HUGE_NUMBER = b"1" + b"0" * 400
+CONFIGURATIONS = {
+    "nested": config().replace(b'"name":', b'"x": ' + NESTED + b', "name":', 1),
+    "nested settings": config().replace(b'"caps":', b'"x": ' + NESTED + b', "caps":', 1),
+    "a huge number": config().replace(b'"step": 5.0', b'"step": ' + HUGE_NUMBER),
+    "an address": config(listen="127.0.0.1:\u00b2"),
+    "a list": b"[]",
+}
+
+
+@pytest.mark.parametrize("name", CONFIGURATIONS)
+def test_a_configuration_that_cannot_be_read_is_reported_as_such(name):
+    with pytest.raises(configuration.ConfigError):
+        configuration.parse(CONFIGURATIONS[name], {})
+
+
+@pytest.mark.parametrize("name", ["nested", "a huge number"])
+def test_a_reloaded_configuration_that_cannot_be_read_is_rejected_and_the_old_one_stays(
+    start, tmp_path, name
+):
+    program = start(Node())
+    (tmp_path / "config.json").write_bytes(CONFIGURATIONS[name])
+    program.signal(signal.SIGHUP)
+    program.wait_for_log("configuration_rejected")
+    assert read_answer(program.client(post(id="usual")))[0] == 200
+
+
 def test_a_list_of_nodes_with_odd_fields_harms_no_usual_query(live):
     odd = [
         entry(4, cell=10**6),
