SQL sessions: whatever a statement raises is its answer, and the session goes on

What callers saw: SELECT 1+1+... of some hundred terms, or NOT a thousand deep: the connection is closed with no error message, or waits for good. The same for SET statement_timeout = '²', a malformed row of a data node under COPY, and retry_after_ms=soon in the DETAIL of a data node's error.

Where this came up in a callback of the coordinator, the session stayed busy: no timer ends that.

Change: a session answers any exception of a statement with an ErrorResponse (54001 for what is nested too deep, XX000 and statement_failed in the log otherwise) and is ready for the next one; an outcome or a row transfer that raises ends its statement alone. Numbers are matched by patterns with bounds. The fake service of the tests passes on PgError alone, as the service does.

--- a/tansycrank/config/tables.py
+++ b/tansycrank/config/tables.py
@@ -9,6 +9,8 @@
 from tansycrank.config.sections import ClassSection, DistributionSection, TableSection
 from tansycrank.postgres import types
 
+SHARD = re.compile(r"[0-9]{1,9}")
+
 
 def check_class(path: str, name: str, section: ClassSection) -> QueryClassConfig:
     """Check a class and compile its pattern. Raises ConfigError."""
@@ -53,7 +55,7 @@
     shard_by_value: dict[str, int] = {}
     for group in filter(str.strip, text.replace("\n", " ").split(";")):
         number, colon, members = group.partition(":")
-        if not colon or not number.strip().isdigit() or int(number) >= shards:
+        if not colon or not SHARD.fullmatch(number.strip()) or int(number) >= shards:
             raise ConfigError(
                 path, where, "values", group.strip(), f"SHARD: VALUE, ...; shards 0 to {shards - 1}"
             )
--- a/tansycrank/postgres/errors.py
+++ b/tansycrank/postgres/errors.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import re
+
 from tansycrank.errors import TansycrankError
 
 PROTOCOL_VIOLATION = "08P01"
@@ -26,6 +28,7 @@
 TOO_MANY_CONNECTIONS = "53300"
 LIMIT_EXCEEDED = "53400"
 TOO_LARGE = "54000"
+TOO_COMPLEX = "54001"
 OUT_OF_MEMORY = "53200"
 QUERY_CANCELED = "57014"
 SHUTTING_DOWN = "57P01"
@@ -41,6 +44,8 @@
 # SQLSTATEs with which a data node reports that it did not start the query.
 REJECTED_BEFORE_RUN = (TOO_MANY_CONNECTIONS, CANNOT_CONNECT_NOW)
 
+RETRY_AFTER = re.compile(r"retry_after_ms=([0-9]{1,15}(?:\.[0-9]{1,9})?)(?= |$)")
+
 
 class PgError(TansycrankError):
     """An error reported to a client: SQLSTATE, message and optional ErrorResponse fields."""
@@ -73,8 +78,8 @@
 
 def retry_after(detail: str) -> float:
     """Returns the retry delay in ms from the DETAIL of a rejection, or 0 if it has none."""
-    value = detail.partition("retry_after_ms=")[2].split(" ")[0]
-    return float(value or 0)
+    found = RETRY_AFTER.search(detail)
+    return float(found[1]) if found is not None else 0.0
 
 
 def unsupported(construct: str, hint: str = "") -> PgError:
@@ -84,6 +89,13 @@
     )
 
 
+def unexpected_error(error: Exception) -> PgError:
+    """Returns the error for a statement that ended in an exception which is no PgError."""
+    if isinstance(error, RecursionError):
+        return PgError(TOO_COMPLEX, "the statement is nested too deep")
+    return PgError(INTERNAL, f"the statement failed in the router: {type(error).__name__}")
+
+
 class ProtocolError(PgError):
     """A violation of the protocol by the peer; it ends the session."""
 
--- a/tansycrank/postgres/server/context.py
+++ b/tansycrank/postgres/server/context.py
@@ -34,6 +34,9 @@
     def process_messages(self) -> None:
         """Continue with queued messages after a response is complete."""
 
+    def fail_statement(self, error: Exception) -> None:
+        """Answer the running statement with an error, after an exception."""
+
 
 @dataclass(slots=True)
 class SessionContext:
--- a/tansycrank/postgres/server/pending_operation.py
+++ b/tansycrank/postgres/server/pending_operation.py
@@ -36,13 +36,20 @@
                     self._service.release(outcome)
                 return
             self.is_active = False
-            on_outcome(outcome)
+            try:
+                on_outcome(outcome)
+            except Exception as error:  # the caller of `finish` serves other sessions too
+                self._connection.fail_statement(error)
             self._connection.process_messages()
 
         running = begin(finish)
         if not has_finished:
             self._running = running
 
+    def reset(self) -> None:
+        """Forget an operation whose start or outcome raised an exception."""
+        self.is_active, self._running = False, None
+
     def cancel(self) -> bool:
         """Cancel the operation for a CancelRequest; return False if none is running."""
         if self._running is None:
--- a/tansycrank/postgres/server/row_writer.py
+++ b/tansycrank/postgres/server/row_writer.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from tansycrank.merge.rows import Result
-from tansycrank.postgres.errors import PgError, cancelled
+from tansycrank.postgres.errors import PgError, cancelled, unexpected_error
 from tansycrank.postgres.server.context import SessionConnection
 
 CHUNK_BYTES = 65_536  # size of rows written between two checks of back-pressure
@@ -62,6 +62,23 @@
 
     def write_available(self) -> None:
         """Write rows until all are written, none is available or the client stops reading."""
+        try:
+            self._write_available()
+        except Exception as error:  # such as a row of a data node that cannot be converted
+            self._end_with(error)
+
+    def _end_with(self, error: Exception) -> None:
+        """End the transfer with an error; its rows so far have been sent."""
+        transfer, self._transfer = self._transfer, None
+        if transfer is None:
+            self._connection.fail_statement(error)
+            return
+        problem = error if isinstance(error, PgError) else unexpected_error(error)
+        problem.severity = "ERROR"  # the session goes on
+        transfer.on_finished(transfer.rows_sent, problem)
+        self._connection.process_messages()
+
+    def _write_available(self) -> None:
         transfer = self._transfer
         while transfer is not None and self._connection.may_write_rows:
             if transfer.header:
--- a/tansycrank/postgres/server/session.py
+++ b/tansycrank/postgres/server/session.py
@@ -15,7 +15,7 @@
 
 from tansycrank.admission.identity import Caller
 from tansycrank.postgres import messages as pg
-from tansycrank.postgres.errors import SHUTTING_DOWN, PgError
+from tansycrank.postgres.errors import SHUTTING_DOWN, PgError, unexpected_error
 from tansycrank.postgres.server.context import SessionContext
 from tansycrank.postgres.server.cursors import CursorTable
 from tansycrank.postgres.server.extended_query import ExtendedQuery
@@ -56,6 +56,7 @@
         self._frames: pg.MessageSplitter | None = None
         self._queue = MessageQueue()
         self._is_processing = False
+        self._is_simple_query = False  # whether the last statement came in a Query message
         self._is_client_reading = True
         self._is_reading_paused = False
         self._timer: IDelayedCall | None = None  # login timeout, later close timeout
@@ -268,6 +269,7 @@
             self._handle_statement_message(message)
 
     def _handle_statement_message(self, message: object) -> None:
+        self._is_simple_query = isinstance(message, pg.Query)
         try:
             if isinstance(message, pg.Query):
                 self._simple_query.handle(message.sql)
@@ -277,6 +279,22 @@
             if error.is_fatal:
                 raise
             self._extended_query.fail(error)
+        except Exception as error:  # a client without an answer would wait for good
+            self.fail_statement(error)
+
+    def fail_statement(self, error: Exception) -> None:
+        """Answer the running statement with an error, after an exception that is no PgError."""
+        problem = error if isinstance(error, PgError) else unexpected_error(error)
+        if self.factory.log:
+            self.factory.log.error("statement_failed", pid=self.pid, error=repr(error))
+        self._operation.reset()
+        result = self._row_writer.discard()
+        if result is not None:
+            self.service.release(result)
+        if self._is_simple_query:
+            self._simple_query.fail(problem)
+        else:
+            self._extended_query.fail(problem)
 
     def write(self, data: bytes) -> None:
         """Send encoded messages to the client."""
--- a/tansycrank/postgres/server/session_settings.py
+++ b/tansycrank/postgres/server/session_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator, Mapping
 
 from tansycrank.admission.identity import Caller
@@ -19,6 +20,7 @@
 ROUTER_SETTING_PREFIX = "tansycrank."
 LIMITS_COMMAND = "tansycrank.limits"  # a command with the syntax of a setting; not stored
 MS_BY_UNIT = {"ms": 1, "min": 60_000, "s": 1000, "h": 3_600_000}  # "ms" must match before "s"
+DURATION = re.compile(r"[0-9]{1,15}")
 PRESERVED_ON_RESET = ("session_authorization", "application_name")
 
 DEFAULTS = {
@@ -101,7 +103,7 @@
     text = value.strip().lower()
     unit = next((unit for unit in MS_BY_UNIT if text.endswith(unit)), "")
     number = text[: len(text) - len(unit)].strip() if unit else text
-    if not number.isdigit():
+    if not DURATION.fullmatch(number):
         raise PgError(
             INVALID_PARAMETER,
             f"invalid value for parameter {name!r}: {value!r}",
--- a/tansycrank/postgres/server/simple_query.py
+++ b/tansycrank/postgres/server/simple_query.py
@@ -30,7 +30,7 @@
         try:
             comment, statements = self._prepare(sql)
         except PgError as error:
-            self._fail(error)
+            self.fail(error)
             return
         if not statements:
             self._context.connection.write(pg.EMPTY_QUERY + self._ready_message())
@@ -61,7 +61,7 @@
                     continue
                 self._start_execution(prepared, remaining, comment)
             except PgError as error:
-                self._fail(error)
+                self.fail(error)
             return
         self._context.connection.write(self._ready_message())
 
@@ -82,14 +82,15 @@
     ) -> None:
         def on_finished(tag: str | None, error: PgError | None) -> None:
             if error is not None:
-                self._fail(error)
+                self.fail(error)
                 return
             self._context.connection.write(pg.command_complete(tag))
             self._run_next(remaining, comment)
 
         self._execution.execute(self._context.make_request(prepared, comment), True, on_finished)
 
-    def _fail(self, error: PgError) -> None:
+    def fail(self, error: PgError) -> None:
+        """End the message with an error and ReadyForQuery."""
         self._context.transaction.fail()
         self._context.connection.write(pg.error_response(error) + self._ready_message())
 
--- a/tansycrank/sql_router/session_settings.py
+++ b/tansycrank/sql_router/session_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 from enum import IntEnum
 
@@ -10,6 +11,7 @@
 from tansycrank.sql.plan import Prepared
 
 MAX_TEXT_LENGTH = 128  # characters of a request key or a tenant
+DEADLINE = re.compile(r"[0-9]{1,15}")  # ms
 Classes = tuple[QueryClassConfig, ...]
 
 FORM_LABELS = ("safe", "keyed", "unsafe")  # by `QueryForm`, in EXPLAIN and in the log
@@ -35,7 +37,7 @@
                 f"no class {value!r}; classes: {', '.join(_names(classes))}",
             )
     elif name == "tansycrank.deadline":
-        if value and not (value.isdigit() and int(value) > 0):
+        if value and not (DEADLINE.fullmatch(value) and int(value) > 0):
             raise PgError(
                 INVALID_PARAMETER,
                 f"{name} = {value!r}: milliseconds above 0, or empty for none",
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -6,6 +6,7 @@
 from tansycrank import config
 from tansycrank.merge.rows import Result
 from tansycrank.postgres import messages as pg
+from tansycrank.postgres.errors import PgError
 from tansycrank.postgres.server import PostgresServerFactory
 from tansycrank.sql.planner import Planner
 from tansycrank.sql_router.service import RunningStatement, Service
@@ -27,7 +28,7 @@
                 request.prepared.bind(
                     self.decode_values(request.prepared, request.values, request.formats)
                 )
-            except Exception as error:
+            except PgError as error:  # others are raised, as by the service
                 done(error)
                 return None
         self.requests.append(request)
@@ -89,6 +90,7 @@
     """Completes loseConnection immediately, as with a client that reads all data."""
 
     aborted = False
+    unsent_bytes = 0  # the client reads all data at once
 
     def setTcpNoDelay(self, on):
         pass
