SQL data nodes: a connection serves the next statement only once what it sent is judged

What callers would see: rows of another statement, as a good answer.

At ReadyForQuery the connection went to the next statement that waited, in the middle of the bytes just read; a copy of the result behind it was parsed as that statement's answer, before a byte of it had been sent. Bytes that were no whole message stayed in front of the next result, messages of unknown types were skipped.

Change: the pool hears of an idle connection after the read. A message without a place in the connection's state, or bytes left behind a result, end the connection.

--- a/tansycrank/postgres/messages/framing.py
+++ b/tansycrank/postgres/messages/framing.py
@@ -86,6 +86,11 @@
     def __init__(self, limit: int) -> None:
         self._limit, self._partial, self._needed_bytes = limit, bytearray(), 0
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes buffered of an incomplete message."""
+        return len(self._partial)
+
     def feed(self, data: bytes) -> Iterator[tuple[int, bytes, int]]:
         """Yields (type byte, bytes, number of messages): rows in blocks, other messages singly."""
         if self._partial:
--- a/tansycrank/sql_router/connection_pool.py
+++ b/tansycrank/sql_router/connection_pool.py
@@ -14,13 +14,9 @@
 from tansycrank.pending_notifications import PendingNotifications
 from tansycrank.routing import Outcome
 from tansycrank.single_connection import SingleConnectionFactory
-from tansycrank.sql_router.node_connection import (
-    AttemptResult,
-    ConnectionState,
-    NodeConnection,
-    ShardStatement,
-    login_failure_outcome,
-)
+from tansycrank.sql_router.node_connection import NodeConnection, login_failure_outcome
+from tansycrank.sql_router.node_messages import ConnectionState
+from tansycrank.sql_router.shard_statement import AttemptResult, ShardStatement
 
 # The least time a call may wait for its connection, in mean login times: a login takes several
 # round trips.
--- a/tansycrank/sql_router/coordinator.py
+++ b/tansycrank/sql_router/coordinator.py
@@ -30,7 +30,7 @@
 )
 from tansycrank.routing import FailureReason
 from tansycrank.sql_router.connection_pool import ConnectionPool, OutgoingCall
-from tansycrank.sql_router.node_connection import AttemptResult, ShardStatement
+from tansycrank.sql_router.shard_statement import AttemptResult, ShardStatement
 
 
 @dataclass(slots=True, eq=False)
--- a/tansycrank/sql_router/node_connection.py
+++ b/tansycrank/sql_router/node_connection.py
@@ -8,11 +8,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
-from enum import Enum
 
 from twisted.internet import error
-from twisted.internet.protocol import Protocol
 from twisted.protocols.basic import LineReceiver
 
 from tansycrank.lifecycle import Attempt
@@ -27,87 +24,24 @@
 )
 from tansycrank.routing import Outcome
 from tansycrank.single_connection import SingleConnectionFactory
+from tansycrank.sql_router.cancel_connection import CancelConnection
+from tansycrank.sql_router.node_messages import (
+    ASYNCHRONOUS_MESSAGES,
+    AUTHENTICATION,
+    BACKEND_KEY_DATA,
+    COMMAND_COMPLETE,
+    COPY_RESPONSES,
+    DATA_ROW,
+    ERROR_RESPONSE,
+    EXPECTED_MESSAGES,
+    PARAMETER_DESCRIPTION,
+    READY_FOR_QUERY,
+    ROW_DESCRIPTION,
+    ConnectionState,
+)
+from tansycrank.sql_router.shard_statement import AttemptResult, ShardStatement
 
 READ_BUFFER_BYTES = 16 * 1024
-REQUEST_KEY_SETTING = "tansycrank.request_key"
-
-# Message types of the PostgreSQL backend
-DATA_ROW = ord("D")
-READY_FOR_QUERY = ord("Z")
-COMMAND_COMPLETE = ord("C")
-ROW_DESCRIPTION = ord("T")
-ERROR_RESPONSE = ord("E")
-PARAMETER_DESCRIPTION = ord("t")
-AUTHENTICATION = ord("R")
-BACKEND_KEY_DATA = ord("K")
-COPY_RESPONSES = tuple(b"GHW")  # CopyIn, CopyOut, CopyBoth
-
-
-class ConnectionState(Enum):
-    """States of a connection to a data node."""
-
-    STARTING = "starting"  # connecting or logging in
-    IDLE = "idle"
-    BUSY = "busy"  # running a shard request
-    CANCELLING = "cancelling"  # abandoned; the node has not finished the request yet
-    AWAITING_CANCEL = "awaiting_cancel"  # ready, but the CancelRequest may still arrive
-    CLOSED = "closed"
-
-
-@dataclass(frozen=True, slots=True)
-class ShardStatement:
-    """A statement that a data node runs, or only describes if `describe` is set.
-
-    `oids` and `formats` are the types and formats of the parameters, `results` the formats of the
-    result columns, `key` the idempotency key.
-    """
-
-    shard: int
-    sql: str
-    oids: tuple[int, ...] = ()
-    values: tuple[bytes | None, ...] = ()
-    formats: tuple[int, ...] = ()
-    results: tuple[int, ...] = ()
-    key: str = ""
-    describe: bool = False
-
-    def encode(self) -> bytes:
-        """Return the protocol messages, up to and including Sync."""
-        if self.describe:
-            return pg.parse(self.sql, self.oids) + pg.describe("S") + pg.SYNC_FRAME
-        set_key = b""
-        if self.key:
-            # In the transaction of the statement; within the deduplication window the store
-            # executes only the first statement with the same key.
-            literal = self.key.replace("'", "''")
-            set_key = (
-                pg.parse(f"SET LOCAL {REQUEST_KEY_SETTING} = '{literal}'", ())
-                + pg.bind((), (), ())
-                + pg.execute()
-            )
-        return b"".join(
-            (
-                set_key,
-                pg.parse(self.sql, self.oids),
-                pg.bind(self.values, self.formats, self.results),
-                pg.describe("P"),
-                pg.execute(),
-                pg.SYNC_FRAME,
-            )
-        )
-
-
-@dataclass(slots=True)
-class AttemptResult:
-    """How an attempt ended.
-
-    With the outcome `SUCCEEDED`, `error` is an error in the statement itself. The rows are in
-    the stream that was passed to `ConnectionPool.send`.
-    """
-
-    outcome: Outcome
-    error: PgError | None = None
-    oids: tuple[int, ...] = ()
 
 
 class NodeConnection(LineReceiver):
@@ -142,6 +76,9 @@
         self._result = AttemptResult(Outcome.SUCCEEDED)
         self._stream: ShardRowStream | None = None
         self._hold_requested = self._is_paused = False  # requested by the stream; applied
+        # Whether received bytes are being parsed, and whether the pool is told of the idle
+        # connection once they are.
+        self._is_reading = self._is_ready_due = False
         self._pending = b""  # received bytes of a large result, not parsed yet
         self._cancel_in_flight = False  # a late CancelRequest would cancel the next statement
         self._grace_timer = None
@@ -186,18 +123,48 @@
         return False
 
     def _read(self, data: bytes) -> None:
+        self._is_reading = True
+        try:
+            self._read_messages(data)
+        finally:
+            self._is_reading = False
+        if self._is_ready_due and self.state is ConnectionState.IDLE:
+            self._is_ready_due = False
+            self.on_ready(self)
+
+    def _read_messages(self, data: bytes) -> None:
         try:
             for kind, message, count in self.frames.feed(data):
+                self._check_expected(kind)
                 if kind == DATA_ROW:
                     self._on_rows(message, count)
                 else:
                     self._on_message(kind, message)
                 if self.state is ConnectionState.CLOSED:
                     return
+            self._check_remaining_bytes()
         except PgError as problem:
             self._on_lost(problem if isinstance(problem, ProtocolError) else None)
             self.transport.abortConnection()
 
+    def _check_expected(self, kind: int) -> None:
+        """Raise ProtocolError for a message that has no place in this state.
+
+        It may be the end of a message whose length was too small.
+        """
+        expected = EXPECTED_MESSAGES.get(self.state, ())
+        if kind not in expected and kind not in ASYNCHRONOUS_MESSAGES:
+            message = f"the node sent a message of type {chr(kind)!r}"
+            raise ProtocolError(f"{message} on a connection that is {self.state.value}")
+
+    def _check_remaining_bytes(self) -> None:
+        """Raise ProtocolError for a partial message behind the end of a result.
+
+        The next result would be misread after it.
+        """
+        if self.state is ConnectionState.IDLE and self.frames.buffered_bytes:
+            raise ProtocolError("the node sent bytes behind the end of a result")
+
     def connectionLost(self, reason=None) -> None:
         """Report the loss to the running request and to the pool."""
         if self._pending:  # it may hold the end of the result
@@ -264,7 +231,7 @@
         if self.cancel_key is not None:
             self._cancel_in_flight = True
             peer = self.transport.getPeer()
-            cancel_connection = _CancelConnection(self.cancel_key, self._on_cancel_closed)
+            cancel_connection = CancelConnection(self.cancel_key, self._on_cancel_closed)
             factory = SingleConnectionFactory(cancel_connection, cancel_connection.connectionLost)
             self.reactor.connectTCP(peer.host, peer.port, factory, timeout=self.cancel_grace)
 
@@ -300,7 +267,17 @@
         if self._grace_timer is not None and self._grace_timer.active():
             self._grace_timer.cancel()
         self.state = ConnectionState.IDLE
-        self.on_ready(self)
+        self._announce_ready()
+
+    def _announce_ready(self) -> None:
+        """Report an idle connection to the pool once the bytes behind the last result are judged.
+
+        Otherwise a copy of the result behind it would be taken for that of the next statement.
+        """
+        if self._is_reading:
+            self._is_ready_due = True
+        else:
+            self.on_ready(self)
 
     def _set_hold(self, stop: bool) -> None:
         """Pause reading, so that TCP applies backpressure to the node, or resume."""
@@ -384,7 +361,7 @@
     def _on_ready_for_query(self) -> None:
         if self.state is ConnectionState.STARTING:
             self.state = ConnectionState.IDLE
-            self.on_ready(self)
+            self._announce_ready()
         elif self.state is ConnectionState.CANCELLING:
             self._on_cancelled()
         elif self.state is ConnectionState.BUSY:
@@ -394,7 +371,7 @@
                 ended.outcome = Outcome.ERROR
             self._finish(ended)
             if self.state is ConnectionState.IDLE:
-                self.on_ready(self)
+                self._announce_ready()
 
 
 def login_failure_outcome(login_error: PgError | None) -> Outcome:
@@ -404,17 +381,3 @@
         if login_error is not None and login_error.state in REJECTED_BEFORE_RUN
         else Outcome.CONNECT_FAILED
     )
-
-
-class _CancelConnection(Protocol):
-    def __init__(self, key: tuple[int, int], done: Callable[[], None]) -> None:
-        self.key, self.done = key, done
-
-    def connectionMade(self) -> None:
-        self.transport.write(pg.cancel_request(*self.key))
-
-    def connectionLost(self, reason=None) -> None:
-        self.done()
-
-
-__all__ = ["AttemptResult", "NodeConnection", "ShardStatement", "login_failure_outcome"]
--- a/tansycrank/sql_router/service.py
+++ b/tansycrank/sql_router/service.py
@@ -25,7 +25,6 @@
 from tansycrank.sql.plan import Prepared
 from tansycrank.sql.planner import Planner, explain_lines
 from tansycrank.sql_router.coordinator import Coordinator, RoutedQuery, ShardRequest
-from tansycrank.sql_router.node_connection import ShardStatement
 from tansycrank.sql_router.parameters import decode_parameters, query_hash, statement_hash
 from tansycrank.sql_router.session_settings import (
     FORM_LABELS,
@@ -36,6 +35,7 @@
     query_form,
     remaining_ms,
 )
+from tansycrank.sql_router.shard_statement import ShardStatement
 
 # A text of exactly one statement that goes to data nodes
 SINGLE_STATEMENT = re.compile(r"\s*(?:select|insert|update|delete|with)\b[^;]*;?\s*$", re.I)
--- a/tansycrank/testbed/node/batch.py
+++ b/tansycrank/testbed/node/batch.py
@@ -11,7 +11,7 @@
 from tansycrank.postgres.errors import SYNTAX_ERROR, PgError
 from tansycrank.sql.infer import parameter_types
 from tansycrank.sql.planner import split_leading_comment
-from tansycrank.sql_router.node_connection import REQUEST_KEY_SETTING
+from tansycrank.sql_router.shard_statement import REQUEST_KEY_SETTING
 from tansycrank.testbed.engine import Rows, to_engine
 from tansycrank.testbed.node.interfaces import JournaledSession
 from tansycrank.testbed.node.node import Node
--- a/tansycrank/testbed/simulated.py
+++ b/tansycrank/testbed/simulated.py
@@ -22,7 +22,7 @@
 from tansycrank.merge.blocks import MemoryReservations
 from tansycrank.merge.spill import SpillSpace
 from tansycrank.sql_router.coordinator import Coordinator
-from tansycrank.sql_router.node_connection import AttemptResult, ShardStatement
+from tansycrank.sql_router.shard_statement import AttemptResult, ShardStatement
 
 
 class Call:
--- a/tests/test_sql_node_connection.py
+++ b/tests/test_sql_node_connection.py
@@ -11,7 +11,8 @@
 from tansycrank.postgres.errors import PgError
 from tansycrank.routing import Outcome
 from tansycrank.sql_router.connection_pool import ConnectionPool
-from tansycrank.sql_router.node_connection import ConnectionState, ShardStatement
+from tansycrank.sql_router.node_messages import ConnectionState
+from tansycrank.sql_router.shard_statement import ShardStatement
 
 ADDRESS = ("10.0.0.1", 5432)
 LOGIN_RESPONSE = pg.AUTHENTICATION_OK + pg.backend_key_data(7, 99) + pg.ready_for_query("I")
