SQL data nodes: the connection of a CancelRequest ends though its node never closes it

Cause: the router waits for the node to close that connection; connecting had a time-out, waiting had none. A node that accepts and stays silent held a descriptor for each cancel, for good.

Change: it is aborted cancel_grace_ms after it was established.

Test, in memory: the cancel test of test_sql_node_stray_bytes.py.

--- a/tansycrank/sql_router/node_connection.py
+++ b/tansycrank/sql_router/node_connection.py
@@ -231,7 +231,9 @@
         if self.cancel_key is not None:
             self._cancel_in_flight = True
             peer = self.transport.getPeer()
-            cancel_connection = CancelConnection(self.cancel_key, self._on_cancel_closed)
+            cancel_connection = CancelConnection(
+                self.reactor, self.cancel_grace, self.cancel_key, self._on_cancel_closed
+            )
             factory = SingleConnectionFactory(cancel_connection, cancel_connection.connectionLost)
             self.reactor.connectTCP(peer.host, peer.port, factory, timeout=self.cancel_grace)
 
--- a/tests/test_sql_node_stray_bytes.py
+++ b/tests/test_sql_node_stray_bytes.py
@@ -1,7 +1,7 @@
 """Bytes of a data node that belong to no result, in front of or behind one."""
 
 import pytest
-from test_sql_node_connection import LOGIN_RESPONSE, ROW_RESPONSE, logged_in
+from test_sql_node_connection import LOGIN_RESPONSE, ROW_RESPONSE, PoolHarness, logged_in
 
 from tansycrank.postgres import messages as pg
 from tansycrank.postgres.errors import PgError
@@ -66,3 +66,16 @@
     connection.dataReceived(asynchronous)
     assert harness.outcomes == [Outcome.SUCCEEDED] and not connection.transport.aborted
     assert connection.state is ConnectionState.IDLE
+
+
+def test_the_connection_of_a_cancel_request_ends_though_its_node_never_closes_it():
+    """Guards against descriptors that a node holds for good."""
+    harness, _connection = logged_in(cancel_grace_ms=500.0)
+    harness.send(timeout_ms=100.0)
+    other = harness.accept()
+    other.dataReceived(pg.notice_response(PgError("00000", "x")))
+    harness.reactor.advance(0.2)
+    cancel = PoolHarness.accept(harness, log_in=False)
+    assert cancel.transport.value() and not cancel.transport.aborted
+    harness.reactor.advance(0.6)
+    assert cancel.transport.aborted
