SQL router's feed: lines nested too deep, and a bound on the nodes of all deltas

Cause: the decoder's RecursionError was not caught, so such a line ended the connection without a word in the log; max_nodes bounded the nodes of a line, not those that many deltas add.

Change: decode_json; changes that would list more than max_nodes nodes are left out and logged, changes of listed nodes go on.

--- a/tansycrank/discovery/endpoint_view.py
+++ b/tansycrank/discovery/endpoint_view.py
@@ -170,7 +170,7 @@
             self._request_snapshot(actions)
         if not is_same_epoch or line.version <= self.version:
             return
-        changed = self._valid_nodes(line.nodes, actions)
+        changed = self._within_limit(self._valid_nodes(line.nodes, actions), actions)
         if line.version == self.version + 1:
             self.version = line.version
         for node in changed:
@@ -179,6 +179,19 @@
         actions.append(PublishUpdate(self._update(EndpointListKind.DELTA, changed, now)))
         self._starts.forget(node.id for node in changed if node.is_removed)
 
+    def _within_limit(self, changed: list[NodeLine], actions: list[Action]) -> list[NodeLine]:
+        """Return the changes without those that would list more than `max_nodes` nodes."""
+        new_ids = list(
+            dict.fromkeys(
+                node.id for node in changed if node.id not in self.nodes and not node.is_removed
+            )
+        )
+        excess = set(new_ids[max(self._max_nodes - len(self.nodes), 0) :])
+        if excess:
+            text = f"{len(excess)} nodes more than the {self._max_nodes} allowed; they are not used"
+            actions.append(LogProblem(text))
+        return [node for node in changed if node.id not in excess]
+
     def _apply(self, node: NodeLine) -> Action:
         if node.is_removed:
             self.nodes.pop(node.id, None)
--- a/tansycrank/discovery/feed_client.py
+++ b/tansycrank/discovery/feed_client.py
@@ -24,10 +24,12 @@
     TimerExpired,
     WatchRequested,
 )
+from tansycrank.json_input import JsonInputError, decode_json
 from tansycrank.pending_notifications import read_available
 from tansycrank.routing import EndpointListKind, EndpointListUpdate
 
 CONNECT_TIMEOUT_SECONDS = 2
+_LINE_DECODER = msgspec.json.Decoder(FeedLine)
 
 
 class _FeedProtocol(LineOnlyReceiver):
@@ -52,8 +54,8 @@
     def lineReceived(self, line: bytes) -> None:
         """Decode a line and pass it to the view."""
         try:
-            decoded = msgspec.json.decode(line, type=FeedLine)
-        except msgspec.MsgspecError:
+            decoded = decode_json(_LINE_DECODER, line)
+        except JsonInputError:
             decoded = None
         self.feed.handle(LineReceived(decoded))
 
