SQL sessions: a bound on the bytes that all sessions hold together

What callers would see: a router killed for memory.

Cause: bounds of each session alone: a message of 4 MiB, a queue of 1 MiB counted in bytes on the wire (a Sync of 5 takes some 200 in memory), 256 statements, 64 portals, times 2000 sessions; caches of plans and row descriptions bounded by their number.

Change: [listen] max_held, 128 MiB by default: sessions report messages, statements, parameters and unsent rows to a ByteBudget; above it the one that holds the most ends with 53200. Queued messages count with 200 bytes more; cached plans are bounded by 1 MiB of text, cached descriptions by 4 KiB each.

--- a/tansycrank/config/sections.py
+++ b/tansycrank/config/sections.py
@@ -42,7 +42,8 @@
 class ListenSection(Section):
     """`[listen]`: the client listener and limits of a session, in bytes.
 
-    With port 0 the operating system chooses a free port.
+    With port 0 the operating system chooses a free port. `max_held` is the limit of all sessions
+    together: messages, prepared statements, parameters and rows that were not sent.
     """
 
     host: str = "127.0.0.1"
@@ -53,6 +54,7 @@
     max_prepared: PositiveInt = 256
     max_portals: PositiveInt = 64
     max_pending: Annotated[int, Meta(ge=1024)] = 1_048_576
+    max_held: Annotated[int, Meta(ge=1_048_576)] = 134_217_728
     login_timeout_ms: PositiveMs = 10000.0
 
 
--- a/tansycrank/postgres/messages/store_responses.py
+++ b/tansycrank/postgres/messages/store_responses.py
@@ -10,6 +10,8 @@
 from tansycrank.postgres.messages.framing import INT16, INT32
 from tansycrank.postgres.messages.reader import Reader
 
+MAX_CACHED_DESCRIPTION_BYTES = 4096
+
 
 def read_error(message: bytes) -> PgError:
     """Decodes an ErrorResponse or NoticeResponse."""
@@ -25,9 +27,19 @@
     )
 
 
-@lru_cache(maxsize=1024)  # data nodes send identical descriptions for every shard request
 def read_row_description(message: bytes) -> tuple[Field, ...]:
     """Decodes the columns of a RowDescription."""
+    if len(message) <= MAX_CACHED_DESCRIPTION_BYTES:
+        return _read_cached_description(message)
+    return _read_description(message)
+
+
+@lru_cache(maxsize=1024)  # data nodes send identical descriptions for every shard request
+def _read_cached_description(message: bytes) -> tuple[Field, ...]:
+    return _read_description(message)
+
+
+def _read_description(message: bytes) -> tuple[Field, ...]:
     reader, fields = Reader(message, 5), []
     for _ in range(reader.count()):
         name = reader.text()
--- a/tansycrank/postgres/server/extended_query.py
+++ b/tansycrank/postgres/server/extended_query.py
@@ -36,6 +36,7 @@
 from tansycrank.sql_router.service import Request
 
 STATEMENT_KIND = "S"
+PLAN_BYTES_PER_CHARACTER = 40  # memory of a planned statement by the length of its text
 COPY_DATA_KINDS = "dcf"  # CopyData, CopyDone, CopyFail: ignored outside COPY
 
 
@@ -131,7 +132,8 @@
         prepared = statements[0] if statements else None
         if prepared is not None and context.transaction.has_failed:
             context.transaction.check_statement(prepared)
-        context.statements.add(message.name, Statement(prepared, comment))
+        held_bytes = PLAN_BYTES_PER_CHARACTER * len(message.sql)
+        context.statements.add(message.name, Statement(prepared, comment, held_bytes))
         self._connection.write(pg.PARSE_COMPLETE)
 
     def _bind(self, message: pg.Bind) -> None:
--- a/tansycrank/postgres/server/factory.py
+++ b/tansycrank/postgres/server/factory.py
@@ -7,6 +7,7 @@
 from twisted.internet.protocol import ServerFactory
 
 from tansycrank.admission.reader_scheduler import ReaderScheduler
+from tansycrank.byte_budget import ByteBudget
 from tansycrank.config import ListenSection
 from tansycrank.postgres.errors import CANNOT_CONNECT_NOW, TOO_MANY_CONNECTIONS, PgError
 from tansycrank.postgres.server.session import ClientSession
@@ -33,6 +34,7 @@
         self.reader_scheduler = ReaderScheduler(
             lambda call: reactor.callLater(0, call), reactor.seconds
         )
+        self.held_bytes = ByteBudget(limits.max_held)
         self._sessions_by_pid: dict[int, ClientSession] = {}
         self._random = random.Random(seed)
         self._last_pid = 0
@@ -52,6 +54,7 @@
     def remove_session(self, session: ClientSession) -> None:
         """Remove a session whose connection has ended."""
         self.sessions.discard(session)
+        self.held_bytes.remove(session)
         self._sessions_by_pid.pop(session.pid, None)
 
     def login_error(self, session: ClientSession) -> PgError | None:
--- a/tansycrank/postgres/server/interfaces.py
+++ b/tansycrank/postgres/server/interfaces.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from tansycrank.admission.reader_scheduler import ReaderScheduler
+from tansycrank.byte_budget import ByteBudget
 from tansycrank.config import ListenSection
 from tansycrank.postgres.errors import PgError
 from tansycrank.sql_router.service import Service
@@ -16,6 +17,7 @@
     service: Service
     limits: ListenSection
     reactor: object
+    held_bytes: ByteBudget  # of all its sessions
     log: object
     stopping: bool
     reader_scheduler: ReaderScheduler
--- a/tansycrank/postgres/server/message_queue.py
+++ b/tansycrank/postgres/server/message_queue.py
@@ -4,9 +4,11 @@
 
 from collections import deque
 
+MESSAGE_OVERHEAD_BYTES = 200  # of a decoded message beside its fields; Sync has none
+
 
 class MessageQueue:
-    """FIFO queue of decoded messages; `size_bytes` is the total size of their frames."""
+    """FIFO queue of decoded messages; `size_bytes` is the memory that they take."""
 
     def __init__(self) -> None:
         self._messages: deque[tuple[object, int]] = deque()
@@ -17,6 +19,7 @@
 
     def append(self, message: object, size_bytes: int) -> None:
         """Add a message with the size of its frame."""
+        size_bytes += MESSAGE_OVERHEAD_BYTES
         self._messages.append((message, size_bytes))
         self.size_bytes += size_bytes
 
--- a/tansycrank/postgres/server/prepared.py
+++ b/tansycrank/postgres/server/prepared.py
@@ -17,6 +17,8 @@
 from tansycrank.sql.plan import Prepared
 from tansycrank.sql_router.service import Service
 
+VALUE_OVERHEAD_BYTES = 48  # of a parameter value beside its bytes
+
 
 @dataclass(slots=True)
 class Statement:
@@ -24,6 +26,7 @@
 
     prepared: Prepared | None
     comment: str
+    held_bytes: int = 0
 
 
 @dataclass(slots=True)
@@ -35,6 +38,12 @@
     result: Result | None = None
     position: int = 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of its parameter values."""
+        values = self.bind.values
+        return VALUE_OVERHEAD_BYTES * len(values) + sum(map(len, filter(None, values)))
+
     @property
     def is_exhausted(self) -> bool:
         """Whether all rows of the result have been sent."""
@@ -48,6 +57,7 @@
     def __init__(self, max_statements: int) -> None:
         self._max_statements = max_statements
         self._statements: dict[str, Statement] = {}
+        self.held_bytes = 0
 
     def check_name(self, name: str) -> None:
         """Raise PgError if a statement of this name cannot be added."""
@@ -60,7 +70,9 @@
 
     def add(self, name: str, statement: Statement) -> None:
         """Add or replace a statement."""
+        self.discard(name)
         self._statements[name] = statement
+        self.held_bytes += statement.held_bytes
 
     def get(self, name: str) -> Statement:
         """Return the statement of this name. Raises PgError 26000."""
@@ -70,7 +82,9 @@
 
     def discard(self, name: str) -> None:
         """Remove a statement if it exists (Close message)."""
-        self._statements.pop(name, None)
+        statement = self._statements.pop(name, None)
+        if statement is not None:
+            self.held_bytes -= statement.held_bytes
 
     def deallocate(self, name: str) -> None:
         """Remove a statement (DEALLOCATE). Raises PgError 26000."""
@@ -80,6 +94,7 @@
     def clear(self) -> None:
         """Remove all statements."""
         self._statements.clear()
+        self.held_bytes = 0
 
 
 class PortalTable:
@@ -89,6 +104,7 @@
         self._service = service
         self._max_portals = max_portals
         self._portals: dict[str, Portal] = {}
+        self.held_bytes = 0
 
     def check_name(self, name: str) -> None:
         """Raise PgError if a portal of this name cannot be added."""
@@ -101,6 +117,7 @@
         """Add a portal; the unnamed one replaces the previous one."""
         self.release(name)
         self._portals[name] = portal
+        self.held_bytes += portal.held_bytes
 
     def get(self, name: str) -> Portal:
         """Return the portal of this name. Raises PgError 34000."""
@@ -111,7 +128,10 @@
     def release(self, name: str) -> None:
         """Remove a portal if it exists."""
         portal = self._portals.pop(name, None)
-        if portal is not None and portal.result is not None:
+        if portal is None:
+            return
+        self.held_bytes -= portal.held_bytes
+        if portal.result is not None:
             self._service.release(portal.result)
 
     def release_all(self) -> None:
@@ -120,3 +140,4 @@
             if portal.result is not None:
                 self._service.release(portal.result)
         self._portals.clear()
+        self.held_bytes = 0
--- a/tansycrank/postgres/server/session.py
+++ b/tansycrank/postgres/server/session.py
@@ -15,7 +15,7 @@
 
 from tansycrank.admission.identity import Caller
 from tansycrank.postgres import messages as pg
-from tansycrank.postgres.errors import SHUTTING_DOWN, PgError, unexpected_error
+from tansycrank.postgres.errors import OUT_OF_MEMORY, SHUTTING_DOWN, PgError, unexpected_error
 from tansycrank.postgres.server.context import SessionContext
 from tansycrank.postgres.server.cursors import CursorTable
 from tansycrank.postgres.server.extended_query import ExtendedQuery
@@ -113,6 +113,28 @@
     def _is_busy(self) -> bool:
         return self._operation.is_active or self._row_writer.is_active
 
+    # --- memory
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of its messages, statements and parameters, and of what was not sent."""
+        if self.state is SessionState.CLOSED:
+            return 0
+        partial = self._frames.buffered_bytes if self._frames is not None else 0
+        statements, portals = self._context.statements, self._context.portals
+        objects = statements.held_bytes + portals.held_bytes
+        return partial + self._queue.size_bytes + objects + self.transport.unsent_bytes
+
+    def release_bytes(self) -> None:
+        """End the session: all sessions together hold too much, and it the most."""
+        limit = self.limits.max_held
+        message = f"all sessions hold more than {limit} bytes, and this one the most"
+        self._end_with(PgError(OUT_OF_MEMORY, message, severity="FATAL"))
+        self._frames = None
+        self._queue.clear()
+        self._context.statements.clear()
+        self._context.release_portals_and_cursors()
+
     # --- Twisted callbacks
 
     def connectionMade(self) -> None:
@@ -132,6 +154,7 @@
                 self._receive_messages(data)
         except PgError as error:
             self._end_with(error)
+        self.factory.held_bytes.update(self)
 
     def connectionLost(self, reason=None) -> None:
         """Cancel the running operation and release all resources of the session."""
@@ -258,6 +281,7 @@
         finally:
             self._is_processing = False
         self._adjust_reading()
+        self.factory.held_bytes.update(self)
 
     def _handle(self, message: object) -> None:
         if isinstance(message, pg.Terminate):
--- a/tansycrank/sql/planner.py
+++ b/tansycrank/sql/planner.py
@@ -36,6 +36,8 @@
 
 CURSOR_SCROLL, CURSOR_HOLD = 0x0002, 0x0020  # parsenodes.h: CURSOR_OPT_SCROLL, CURSOR_OPT_HOLD
 MAX_CACHED_TEXTS = 2000  # cache entries, keyed by SQL text and declared parameter types
+MAX_CACHED_TEXT_LENGTH = 16_384  # characters of a text that is cached
+MAX_CACHED_CHARACTERS = 1_048_576  # of all cached texts; a plan takes many times its text
 MAX_COMMENT_LENGTH = 512  # longest leading comment, in characters, that is split off and forwarded
 
 
@@ -59,6 +61,7 @@
     def __init__(self, config: Config) -> None:
         self.config = config
         self._cache: OrderedDict[tuple[str, tuple[int, ...]], tuple[Prepared, ...]] = OrderedDict()
+        self._cached_characters = 0
         self._last_shard = 0
 
     def plan_statements(self, sql: str, oids: tuple[int, ...] = ()) -> tuple[Prepared, ...]:
@@ -81,12 +84,19 @@
             text = sql[start : start + raw.stmt_len] if raw.stmt_len else sql[start:]
             planned.append(self._plan_statement(raw.stmt, text, start, oids))
         result = tuple(planned)
-        if len(sql) <= 16_384:
-            self._cache[key] = result
-            if len(self._cache) > MAX_CACHED_TEXTS:
-                self._cache.popitem(last=False)
+        if len(sql) <= MAX_CACHED_TEXT_LENGTH:
+            self._add_to_cache(key, result)
         return result
 
+    def _add_to_cache(self, key: tuple[str, tuple[int, ...]], plans: tuple[Prepared, ...]) -> None:
+        self._cache[key] = plans
+        self._cached_characters += len(key[0])
+        while (
+            len(self._cache) > MAX_CACHED_TEXTS or self._cached_characters > MAX_CACHED_CHARACTERS
+        ):
+            (oldest_text, _), _ = self._cache.popitem(last=False)
+            self._cached_characters -= len(oldest_text)
+
     def any_shard(self) -> int:
         """Returns the next shard, round robin, for a statement that any shard can answer."""
         self._last_shard = (self._last_shard + 1) % self.config.store.shards
