Endpoint file: a change is taken once the file has stayed the same for 0.1 s

What callers would see: nodes removed, or a port cut short, while the file is being written.

It was read as soon as its time of change differed.

Change: two polls 0.1 s apart have to find the same time, size and inode.

--- a/tansycrank/discovery/endpoint_file.py
+++ b/tansycrank/discovery/endpoint_file.py
@@ -1,9 +1,16 @@
-"""An endpoint list in a file, for small sites; it is reread when it changes."""
+"""An endpoint list in a file, for small sites; it is reread when it changes.
+
+A file that is being written may look like a valid one with fewer nodes, or with a number cut short.
+So a change is taken once the file has stayed the same for a while; writers that need longer have to
+rename a complete file into place.
+"""
 
 from __future__ import annotations
 
 import configparser
+import os
 from pathlib import Path
+from typing import NamedTuple
 
 import msgspec
 
@@ -15,6 +22,7 @@
 from tansycrank.routing import EndpointListKind, EndpointListUpdate
 
 POLL_INTERVAL_SECONDS = 1.0
+SETTLE_SECONDS = 0.1  # for which a changed file has to stay the same
 FILE_EPOCH = 1
 
 
@@ -22,13 +30,27 @@
     """The file has an invalid section or key, which the message names."""
 
 
+class FileVersion(NamedTuple):
+    """What changes when a file is written."""
+
+    modified_ns: int
+    size: int
+    inode: int
+
+    @classmethod
+    def of(cls, status: os.stat_result) -> FileVersion:
+        """Return the version of a file by its status."""
+        return cls(status.st_mtime_ns, status.st_size, status.st_ino)
+
+
 class EndpointFile(EndpointSource):
     """A file of `[node ID]` sections with the keys host, port, cell, zone and status."""
 
     def __init__(self, reactor, config: Config, pools, publish: UpdateCallback, log=None) -> None:
         super().__init__(reactor, config, pools, publish, log)
         self.path = Path(config.roster.file)
-        self._modified_ns: int | None = None  # of the file as it was last read
+        self._read_version: FileVersion | None = None  # of the file as it was last read
+        self._seen_version: FileVersion | None = None  # of the file at the last poll
         self._version = 0
         self._poll_timer = None
 
@@ -43,24 +65,33 @@
             self._poll_timer.cancel()
 
     def _poll(self) -> None:
-        self._poll_timer = self.reactor.callLater(POLL_INTERVAL_SECONDS, self._poll)
         try:
-            modified_ns = self.path.stat().st_mtime_ns
-            if modified_ns == self._modified_ns:
+            version = FileVersion.of(self.path.stat())
+            has_settled, self._seen_version = version == self._seen_version, version
+            if version == self._read_version:
+                self._schedule_poll(POLL_INTERVAL_SECONDS)
+                return
+            if not has_settled:
+                self._schedule_poll(SETTLE_SECONDS)
                 return
             nodes = read_nodes(self.path)
         except (OSError, ValueError, configparser.Error, EndpointFileError) as error:
+            self._schedule_poll(POLL_INTERVAL_SECONDS)
             self._on_unreadable(error)
             return
-        self._modified_ns, self._version = modified_ns, self._version + 1
+        self._schedule_poll(POLL_INTERVAL_SECONDS)
+        self._read_version, self._version = version, self._version + 1
         line = FeedLine(LineKind.SNAPSHOT.value, self._version, FILE_EPOCH, nodes)
         for action in self.view.step(self.now_ms(), [LineReceived(line)]):
             self.carry_out(action)
 
+    def _schedule_poll(self, seconds: float) -> None:
+        self._poll_timer = self.reactor.callLater(seconds, self._poll)
+
     def _on_unreadable(self, error: Exception) -> None:
         """Keep the last list; where there is none yet, the policy requests a watch again."""
         self.log_problem(f"{self.path}: {error}; keeping the last list")
-        if self._modified_ns is None:
+        if self._read_version is None:
             self.publish(EndpointListUpdate(EndpointListKind.FAILED))
             self._poll_timer.cancel()
             self._poll_timer = None
--- a/tests/test_session_memory.py
+++ b/tests/test_session_memory.py
@@ -6,6 +6,8 @@
 from test_session import SELECT_ONE_SHARD, bind, named_parse
 
 from tansycrank.postgres import messages as pg
+from tansycrank.postgres.messages import store_responses
+from tansycrank.sql.planner import MAX_CACHED_CHARACTERS
 
 MAX_HELD = 1_048_576
 
@@ -85,3 +87,21 @@
     harness.session.dataReceived(pg.SYNC_FRAME * 1000)
     assert harness.transport.producerState == "paused"
     assert harness.session._queue.size_bytes > 100_000
+
+
+def test_the_texts_of_cached_plans_are_bounded():
+    """Guards against a cache that counts plans and not their size."""
+    planner = SessionHarness(CONFIG_TEXT).service.planner
+    for n in range(100):
+        planner.plan_statements(f"SELECT id FROM trips WHERE district = '{n}{'x' * 16_000}'")
+    texts = [text for text, _ in planner._cache]
+    assert sum(map(len, texts)) <= MAX_CACHED_CHARACTERS and len(texts) > 50
+
+
+def test_long_row_descriptions_are_not_cached():
+    store_responses._read_cached_description.cache_clear()
+    fields = tuple(pg.Field(f"column{n}" * 5, 25) for n in range(200))
+    assert len(pg.read_row_description(pg.row_description(fields))) == 200
+    assert store_responses._read_cached_description.cache_info().currsize == 0
+    assert len(pg.read_row_description(pg.row_description(fields[:2]))) == 2
+    assert store_responses._read_cached_description.cache_info().currsize == 1
