Endpoint file test: cut where the file stays valid, so that it fails before the fix

A file cut between two nodes, or in a number that is its node's last key, is valid. With those cuts both fail before the change (a node is removed; port 50 is taken for 5002) and pass after it.

--- a/tests/test_endpoint_file.py
+++ b/tests/test_endpoint_file.py
@@ -18,7 +18,7 @@
 give_up_ms = 1000
 """
 NODES = "".join(
-    f"[node {n}]\nhost = 127.0.0.1\nport = 500{n}\ncell = {n}\nzone = a\n\n" for n in range(3)
+    f"[node {n}]\nhost = 127.0.0.1\ncell = {n}\nzone = a\nport = 500{n}\n\n" for n in range(3)
 )
 
 
@@ -64,7 +64,9 @@
     assert EndpointStatus.DRAINING in [entry.status for entry in harness.updates[-1].entries]
 
 
-@pytest.mark.parametrize("cut", [len(NODES) // 2, NODES.rindex("5002") + 2])
+@pytest.mark.parametrize(
+    "cut", [NODES.index("[node 2]"), NODES.index("5002") + 2], ids=["a node", "a number"]
+)
 def test_a_file_that_is_being_written_removes_no_node_and_cuts_no_number(harness, cut):
     """Guards against a half-written file, which is a valid one with fewer nodes."""
     for _ in range(40):  # the writer goes on, a little at a time
