Clients: a connection is known to the server once it has a transport

What callers saw, in the soak with crowds: no answers from a full router, and maintenance_failed without end. It came with: while a connection is being accepted, the check for one to evict asked the transport of the new connection, which has none yet; accept raised, and the protocol stayed among the connections, so that the first time-out of each maintenance raised too. A transport that cannot be created left the same behind before.

Change: a connection adds itself when it is established. Listed forms follow [listen] max_held and 54001. The test of nested bodies reads with the time that bad clients are owed, so that it ends when it fails.

Test: test_a_connection_that_gets_no_transport_is_not_known_to_the_server. Before: failed; after: passes.

--- a/tansycrank/http_router/client_connection.py
+++ b/tansycrank/http_router/client_connection.py
@@ -108,6 +108,7 @@
 
     def connectionMade(self) -> None:
         """Register as a producer, to be paused when the client stops reading."""
+        self.server.on_connected(self)
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
 
--- a/tansycrank/http_router/http_server.py
+++ b/tansycrank/http_router/http_server.py
@@ -67,15 +67,20 @@
         return self.reactor.seconds()
 
     def buildProtocol(self, addr) -> ClientConnection:
-        """Accept a connection; pause accepting once the server is full."""
-        connection = ClientConnection(self, self._queued_since())
+        """Create the protocol of a connection, which reports itself once it has a transport.
+
+        One that never gets a transport must not be known here: no time-out could close it.
+        """
+        return ClientConnection(self, self._queued_since())
+
+    # --- notifications from connections -----------------------------------------------
+
+    def on_connected(self, connection: ClientConnection) -> None:
+        """Add an accepted connection; pause accepting once the server is full."""
         self.connections[connection] = None
         self.counts["accepted"] += 1
         if self._is_full():
             self._pause_accepting()
-        return connection
-
-    # --- notifications from connections -----------------------------------------------
 
     def schedule_admission(self, connection: ClientConnection) -> None:
         """Admit its requests after further polls of its socket found no more data."""
--- a/tansycrank/http_router/interfaces.py
+++ b/tansycrank/http_router/interfaces.py
@@ -28,6 +28,9 @@
     def now(self) -> float:
         """Time of the reactor's clock, in seconds."""
 
+    def on_connected(self, connection: AdmissibleConnection) -> None:
+        """Add a connection that was accepted and has its transport."""
+
     def schedule_admission(self, connection: AdmissibleConnection) -> None:
         """Call `connection.admit` after further polls of its socket found no more data."""
 
--- a/tests/http_router/test_held_bytes.py
+++ b/tests/http_router/test_held_bytes.py
@@ -89,6 +89,18 @@
     assert harness.daemon.server.held_bytes.held_bytes == 0
 
 
+def test_a_connection_that_gets_no_transport_is_not_known_to_the_server():
+    """Guards against a connection without a transport, which stopped all time-outs."""
+    harness = RouterHarness()
+    server = harness.daemon.server
+    server.buildProtocol(None)  # its transport cannot be created
+    for _ in range(server.settings.max_client_connections + 4):
+        harness.client()
+    assert all(connection.transport is not None for connection in server.connections)
+    harness.run(2.5)
+    assert not server.connections
+
+
 class LargeAnswerNode(Node):
     """A node whose values have 60 kB."""
 
--- a/tests/http_router/test_hostile_clients.py
+++ b/tests/http_router/test_hostile_clients.py
@@ -36,6 +36,13 @@
         program.kill()
 
 
+def client_in_a_hurry(program, request):
+    """A client that waits for its answer as long as it is owed to bad clients."""
+    connection = program.client(request)
+    connection.settimeout(OWED_SECONDS)
+    return connection
+
+
 def memory_mb(program):
     """Anonymous resident memory of the program, in MB."""
     found = re.search(r"RssAnon:\s+(\d+)", Path(f"/proc/{program.process.pid}/status").read_text())
@@ -132,9 +139,10 @@
     """Guards against requests without an answer, which held their connections for good."""
     program = start(Node(), limits=LIMITS)
     bad_clients = [
-        program.client(post(id=f"bad{number}", body=NESTED_BODY)) for number in range(120)
+        client_in_a_hurry(program, post(id=f"bad{number}", body=NESTED_BODY))
+        for number in range(120)
     ]
-    usual = [program.client(post(id=f"usual{number}")) for number in range(10)]
+    usual = [client_in_a_hurry(program, post(id=f"usual{number}")) for number in range(10)]
     assert [read_answer(client)[0] for client in usual] == [200] * 10
     assert [read_answer(client)[0] for client in bad_clients] == [400] * 120
 
--- a/tests/test_edge_forms.py
+++ b/tests/test_edge_forms.py
@@ -22,7 +22,7 @@
 SETTINGS_FILE = {
     "router": "me routers zone zones tick_ms seed stop_within_ms",
     "listen": "host port max_sessions max_message max_statement max_prepared max_portals "
-    "max_pending login_timeout_ms",
+    "max_pending max_held login_timeout_ms",
     "store": "shards cells reach schema database user max_links connect_timeout_ms "
     "cancel_grace_ms idle_link_ms",
     "merge": "process_bytes query_bytes max_row_bytes spill_dir spill_quota cursor_idle_ms "
@@ -62,6 +62,7 @@
     "53400",
     "53T01",
     "54000",
+    "54001",
     "57014",
     "57P01",
     "57P03",
