--- a/tansycrank/cli.py
+++ b/tansycrank/cli.py
@@ -214,10 +214,13 @@
     group: str, name: str, as_json: bool, seed: int, quick: bool, out: str | None
 ) -> None:
     from tansycrank.testbed import fault_scenarios, measure_admission, measure_merge, measures
+    from tansycrank.testbed.neighbours.run import neighbours
 
     known = {
         "drill": fault_scenarios.DRILLS,
-        "measure": measures.MEASURES | {"merge": measure_merge.merge} | measure_admission.MEASURES,
+        "measure": measures.MEASURES
+        | {"merge": measure_merge.merge, "neighbours": neighbours}
+        | measure_admission.MEASURES,
     }[group]
     if name not in known:
         raise click.BadParameter(f"{name!r}; there are: {', '.join(known)}")
@@ -271,7 +274,8 @@
     """Measure a router beside a direct connection. Exit code 1 if what it states did not hold.
 
     Measures: overhead (what the router adds to small queries), merge (large answers; with --out
-    also a plot), fairness (a flood beside other tenants), door-memory, door-honesty and door-size
+    also a plot), neighbours (usual clients of the platform's router beside hostile ones),
+    fairness (a flood beside other tenants), door-memory, door-honesty and door-size
     (the last two simulated).
     """
     _experiment("measure", name, as_json, seed, quick, out)
