Clients: no connection is closed over a request that lies unread or is on its way

The linger timer was ruled out: no answer was unsent when it ended (0 of all lingers).

Change: a connection closes for being idle only if the kernel holds nothing unread of it (FIONREAD), and its FIN leaves in the same turn; at the end of a shutdown what lies unread is read and refused first.

--- a/tansycrank/http_router/client_connection.py
+++ b/tansycrank/http_router/client_connection.py
@@ -79,6 +79,11 @@
         """Whether it has no unanswered and no partly read request."""
         return not self.pending and not self._parser.is_mid_request
 
+    @property
+    def is_closable(self) -> bool:
+        """Whether it is idle and no further request lies unread in the kernel."""
+        return self.is_idle and not self.transport.unread_bytes
+
     @property
     def is_closing(self) -> bool:
         """Whether it accepts no further requests and writes no further answers."""
@@ -352,7 +357,7 @@
             )
         elif self.is_idle:
             limit = IDLE_TIMEOUT if self.has_completed_request else REQUEST_TIMEOUT
-            if waited >= limit:
+            if waited >= limit and self.is_closable:
                 self.close("unused" if self.has_completed_request else "silent")
 
     # --- callbacks of the transport ---------------------------------------------------
--- a/tansycrank/http_router/http_server.py
+++ b/tansycrank/http_router/http_server.py
@@ -102,9 +102,10 @@
         """
         self.idle_after_query[connection] = None
         if len(self.idle_after_query) > self.settings.max_idle_client_connections:
-            longest_idle = next(iter(self.idle_after_query))
-            del self.idle_after_query[longest_idle]
-            longest_idle.close("unused longest")
+            longest_idle = next((one for one in self.idle_after_query if one.is_closable), None)
+            if longest_idle is not None:
+                del self.idle_after_query[longest_idle]
+                longest_idle.close("unused longest")
 
     def on_request_rejected(self, problem: str) -> None:
         """Count a request that was parsed and rejected."""
@@ -138,14 +139,14 @@
         """Close one idle connection: the oldest without any request, else the longest idle.
 
         Connections that were just accepted or answered are not evicted: their request or answer
-        may be in transit. Nor are those with answers that the client does not read: they would hold
-        their descriptors, unknown to the server, as long as it does not.
+        may be in transit. Nor are those with a request that was not read yet, or with answers that
+        the client does not read: they would hold their descriptors, unknown to the server, as long
+        as it does not.
         """
         now = self.now
         candidates = [one for one in self.connections if self._may_be_evicted(one, now)]
-        victim = min(
-            candidates, key=lambda one: (one.has_completed_request, one.waiting_since), default=None
-        )
+        candidates.sort(key=lambda one: (one.has_completed_request, one.waiting_since))
+        victim = next((one for one in candidates if one.is_closable), None)
         if victim is None:
             return False
         self.counts["evicted"] += 1
@@ -216,8 +217,10 @@
             connection.reject_unadmitted()
 
     def close_all(self) -> None:
-        """Close every connection once its written data was sent."""
+        """Answer what lies unread, then close every connection once its written data was sent."""
         for connection in list(self.connections):
+            if connection.transport.unread_bytes:
+                connection.transport.doRead()
             connection.close("leaving")
 
     @property
@@ -230,5 +233,5 @@
         now = self.now
         for connection in list(self.connections):
             is_new = now - connection.waiting_since < FIRST_REQUEST_GRACE
-            if connection.is_idle and (connection.has_completed_request or not is_new):
+            if connection.is_closable and (connection.has_completed_request or not is_new):
                 connection.close("leaving")
--- a/tansycrank/listening.py
+++ b/tansycrank/listening.py
@@ -8,9 +8,12 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import os
 import socket
 import struct
+import termios
+from contextlib import suppress
 
 from twisted.internet import tcp
 
@@ -18,6 +21,7 @@
 ACCEPT_QUEUE_EMPTY = (errno.EAGAIN, errno.EWOULDBLOCK)
 TCP_INFO_BYTES = 104
 LAST_DATA_RECEIVED = struct.Struct("=52xI")  # ms since then, in Linux's `struct tcp_info`
+UNREAD_BYTES = struct.Struct("i")  # result of FIONREAD
 
 
 def seconds_since_data(connection: socket.socket) -> float:
@@ -61,6 +65,25 @@
         """Number of written bytes that the kernel has not accepted yet."""
         return len(self.dataBuffer) - self.offset + self._tempDataLen
 
+    @property
+    def unread_bytes(self) -> int:
+        """Number of received bytes that wait in the kernel; 0 if it does not report it."""
+        try:
+            result = fcntl.ioctl(self.socket, termios.FIONREAD, bytes(UNREAD_BYTES.size))
+        except OSError:
+            return 0
+        return UNREAD_BYTES.unpack(result)[0]
+
+    def loseConnection(self, *args: object) -> None:
+        """Close once the written bytes were sent; without any, the client is told at once.
+
+        Twisted closes in a later reactor turn. What a client sends until then is never read.
+        """
+        if self.connected and not self.disconnecting and not self.unsent_bytes:
+            with suppress(OSError):
+                self.socket.shutdown(socket.SHUT_WR)
+        super().loseConnection(*args)
+
 
 class PausingPort(tcp.Port):
     """A listening port of the reactor that pauses after a failed `accept`."""
--- a/tests/http_router/live.py
+++ b/tests/http_router/live.py
@@ -125,6 +125,8 @@
     unsent_bytes = (
         0  # of written bytes; the kernel accepts all at once unless a test says otherwise
     )
+    unread_bytes = 0  # that the kernel has received
+    has_peer_closed = False
 
     def setTcpNoDelay(self, enabled):
         pass
