Requests: at most 100 header and trailer fields, and the objects of fields count as held bytes

Cause: a field of a few bytes takes a name, a value and a place in a table, some 200 bytes. The bound of a head counts its bytes on the wire: 16 KiB of short fields held 180 KB; 450 such connections took 24 -> 102 MB. The same in trailers.

Change: the 101st field of a request is answered 431 at once; what a partly read request holds counts 200 bytes a field.

The longest wait stays at 1.0 s: rejected clients come again at full speed (another fault).

--- a/tansycrank/http_router/request_parser.py
+++ b/tansycrank/http_router/request_parser.py
@@ -15,6 +15,8 @@
 
 MAX_BODY = 64 * 1024  # bytes per request body, as the protocol defines
 MAX_HEAD = 16 * 1024  # bytes per request head, including the trailer fields behind its body
+MAX_FIELDS = 100  # header and trailer fields of a request
+FIELD_OVERHEAD_BYTES = 200  # of the objects that hold a field, beside its bytes
 CHUNK_FRAMING = 32  # bytes around the data of a chunk that do not count as head or trailer
 # These headers and all x- headers determine what a request means; a repeated one is ambiguous.
 UNIQUE_HEADERS = (b"host", b"idempotency-key")
@@ -68,6 +70,7 @@
     def _reset(self) -> None:
         self._url = b""
         self._headers: dict[bytes, bytes] = {}
+        self._field_count = 0  # a repeated field counts again
         self._body = bytearray()
         self._head_bytes = 0  # bytes received that are neither body nor framing of chunks
 
@@ -78,8 +81,10 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes held of the partly read request."""
-        return self._head_bytes + len(self._body) if self.is_mid_request else 0
+        """Bytes held of the partly read request, with the objects that hold its fields."""
+        if not self.is_mid_request:
+            return 0
+        return self._head_bytes + self._field_count * FIELD_OVERHEAD_BYTES + len(self._body)
 
     def abandon_request(self) -> None:
         """Discard the partly read request."""
@@ -122,7 +127,10 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header, rejecting repeated ones that must be unique."""
+        """Store a header or trailer field, rejecting too many and repeated unique ones."""
+        self._field_count += 1
+        if self._field_count > MAX_FIELDS:
+            self._reject(431, f"a head and the trailer have at most {MAX_FIELDS} fields")
         name = name.lower()
         is_unique = name in UNIQUE_HEADERS or name.startswith(b"x-")
         if name in self._headers and is_unique:
--- a/tests/http_router/test_hostile_clients.py
+++ b/tests/http_router/test_hostile_clients.py
@@ -5,12 +5,15 @@
 import re
 import threading
 import time
+import tracemalloc
 from pathlib import Path
 
 import pytest
 from live import OPERATOR_SETTINGS, RouterHarness, body, config, post, status
 from real import Node, Program, read_answer
 
+from tansycrank.http_router.request_parser import MAX_FIELDS
+
 MEMORY_LIMIT_MB = 64
 LIMITS = {"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": 256}
 BAD_CLIENTS = 150  # more than the router has places for
@@ -133,6 +136,38 @@
     assert status(transport.take()) == 431
 
 
+def short_fields(number):
+    return b"".join(b"%x:1\r\n" % n for n in range(number))
+
+
+@pytest.mark.parametrize(
+    "head", [b"GET /-/ready HTTP/1.1\r\n", CHUNKED_HEAD % 1 + FIRST_CHUNK + b"0\r\n"]
+)
+def test_more_header_or_trailer_fields_than_the_limit_are_rejected(head):
+    """Guards against heads of short fields, whose objects take many times their bytes."""
+    harness = RouterHarness()
+    transport = harness.send_request(head + short_fields(MAX_FIELDS + 2))
+    assert status(transport.take()) == 431 and transport.half_closed
+
+
+def test_the_objects_that_hold_header_fields_count_as_held_bytes():
+    harness = RouterHarness()
+    protocol, _ = harness.client()
+    before = tracemalloc_bytes(lambda: None)
+    data = b"GET /-/ready HTTP/1.1\r\n" + short_fields(MAX_FIELDS - 1)
+    taken = tracemalloc_bytes(lambda: protocol.dataReceived(data)) - before
+    assert harness.daemon.server.held_bytes.held_bytes >= 0.8 * taken
+
+
+def tracemalloc_bytes(action):
+    """Bytes of the objects that an action leaves."""
+    tracemalloc.start()
+    action()
+    taken, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return taken
+
+
 NESTED_BODY = '{"shards":[{"shard":0,"weight":1}],"x":%s,"q":"x"}' % ("[" * 2000 + "]" * 2000)
 
 
