Requests: an id that may have run is refused when it comes again, after its client left or after its answer

Cause: ids are known while their request is open. A client that leaves ends its request at once; its attempts are cancelled, but a data node may have run them, or may run them yet.

Change: recent_requests.py keeps the ids of ended requests that may have run: idempotent ones whose client left until their deadline, others for 60 s; keyed by a hash of 64 bits, within 1/32 of the memory limit. None is dropped before its deadline and window; without room for one more, requests that are not idempotent are refused before they run. The checks on acceptance are a module of their own.

--- a/tansycrank/http_router/coordinator.py
+++ b/tansycrank/http_router/coordinator.py
@@ -11,12 +11,20 @@
 
 from tansycrank import routing
 from tansycrank.http_router import request_codec as codec
+from tansycrank.http_router.acceptance import AcceptanceChecks
 from tansycrank.http_router.active_query import ActiveQuery, ActiveShardRequest
 from tansycrank.http_router.connection_pool import ConnectionPool
 from tansycrank.http_router.failure_log import FailureLog
 from tansycrank.http_router.outgoing_call import OutgoingCall
+from tansycrank.http_router.recent_requests import RecentRequests
 from tansycrank.http_router.request_codec import QueryRequest, RequestRejectedError, Response
-from tansycrank.lifecycle import AnswerKind, AttemptDeniedError, Lifecycle, Violation
+from tansycrank.lifecycle import (
+    AnswerKind,
+    AttemptDeniedError,
+    Lifecycle,
+    QueryState,
+    Violation,
+)
 from tansycrank.policy_event_loop import PolicyEventLoop
 from tansycrank.routing import FailureReason
 
@@ -33,6 +41,7 @@
         log: Callable[..., None],
         set_watch: Callable[[bool], None],
         poll_endpoints: Callable[[], None],
+        recent_requests: RecentRequests,
     ) -> None:
         self.settings = settings
         self.pool = pool
@@ -45,8 +54,20 @@
         self.in_flight = 0  # number of queries and shard requests in flight
         self.shutdown_deadline = float("inf")  # ms: latest time for any answer
         self.counts = dict.fromkeys(
-            ("taken", "answered", "refused", "failed", "left", "turned_away", "sends", "cancels"), 0
+            (
+                "taken",
+                "answered",
+                "refused",
+                "failed",
+                "left",
+                "turned_away",
+                "repeated_ids",
+                "sends",
+                "cancels",
+            ),
+            0,
         )
+        self.acceptance = AcceptanceChecks(settings, recent_requests, self.counts)
         self.failure_log = FailureLog(log)
         self.outcomes = dict.fromkeys((outcome.value for outcome in routing.Outcome), 0)
         actions = {
@@ -80,10 +101,12 @@
         `on_response` is called with the answer. Raises RequestRejectedError if the query cannot be
         accepted.
         """
-        self._check_may_accept(request)
-        remaining = self._remaining_time(request, waited)
-        self._last_id += 1
         now = self.loop.now
+        if request.id in self.queries:
+            raise RequestRejectedError(409, "X-Request-Id: a request of that id is open")
+        self.acceptance.check(request, len(self.queries), self.in_flight, now)
+        remaining = self.acceptance.remaining_time(request, waited, self.shutdown_deadline - now)
+        self._last_id += 1
         query_class = self.settings.classes[request.query_class]
         lifecycle_query = self.lifecycle.accept(
             request.id.decode(),
@@ -101,28 +124,6 @@
         self.loop.enqueue(*events)
         return query
 
-    def _check_may_accept(self, request: QueryRequest) -> None:
-        if request.id in self.queries:
-            raise RequestRejectedError(409, "X-Request-Id: a request of that id is open")
-        if self.in_flight + 1 + len(request.shard_requests) > self.settings.max_in_flight:
-            self.counts["turned_away"] += 1
-            raise RequestRejectedError(503, "too many requests are open")
-        idempotency = self.settings.classes[request.query_class].idempotency
-        if idempotency is routing.Idempotency.WITH_KEY and not request.idempotency_key:
-            raise RequestRejectedError(
-                400, "Idempotency-Key: this class needs one, by which nodes know a repeat"
-            )
-
-    def _remaining_time(self, request: QueryRequest, waited: float) -> float:
-        """Milliseconds left to answer a query that arrived `waited` ms ago."""
-        deadline = self.settings.classes[request.query_class].deadline
-        late = waited if waited > self.settings.tick else 0.0  # below one tick it is clock error
-        until_shutdown = self.shutdown_deadline - self.loop.now
-        remaining = min(request.deadline - late, deadline - late, until_shutdown)
-        if remaining <= 0:
-            raise RequestRejectedError(503, "no time is left to answer it")
-        return remaining
-
     @staticmethod
     def _query_arrived(query: ActiveQuery, remaining: float) -> routing.QueryArrived:
         request = query.request
@@ -374,6 +375,10 @@
 
     def _end(self, query: ActiveQuery) -> None:
         del self.queries[query.request.id], self._queries_by_id[query.id]
+        was_abandoned = query.lifecycle_query.state is QueryState.ABANDONED
+        self.acceptance.recent_requests.record(
+            query.request.id, query.lifecycle_query, was_abandoned, self.loop.now
+        )
         self.in_flight -= query.size
         for shard_request in query.shard_requests:
             self._revoke_unsent(shard_request)
--- a/tansycrank/http_router/daemon.py
+++ b/tansycrank/http_router/daemon.py
@@ -24,6 +24,7 @@
 from tansycrank.http_router.graceful_shutdown import GracefulShutdown
 from tansycrank.http_router.http_server import HttpServer
 from tansycrank.http_router.maintenance import Maintenance
+from tansycrank.http_router.recent_requests import RecentRequests
 from tansycrank.http_router.settings import ConfigError, EndpointListDocument, Settings
 from tansycrank.http_router.version_reset import VersionResetDetector
 from tansycrank.pending_notifications import PendingNotifications
@@ -96,6 +97,7 @@
             log,
             self.discovery.set_watch,
             self.discovery.poll_once,
+            RecentRequests(settings.max_recent_requests),
         )
         self.server = HttpServer(reactor, settings, self.coordinator, log, unread_seconds)
         self.shutdown = GracefulShutdown(
--- a/tansycrank/http_router/settings.py
+++ b/tansycrank/http_router/settings.py
@@ -34,6 +34,8 @@
 # connections to data nodes hold; the objects made of them take several times as much for a moment
 HELD_BYTES_SHARE = 1 / 8
 BYTES_PER_MB = 1024 * 1024
+RECENT_REQUESTS_SHARE = 1 / 32  # share of the memory limit for ids of ended requests
+RECENT_REQUEST_BYTES = 220  # of one such id
 
 MAX_HOST_LENGTH = 255  # characters
 PORT = re.compile(r"[0-9]{1,5}")
@@ -146,6 +148,12 @@
         """Maximum number of bytes that all connections to data nodes hold together."""
         return self.max_client_bytes
 
+    @property
+    def max_recent_requests(self) -> int:
+        """Maximum number of ended requests whose ids are known."""
+        share = self.memory_mb * BYTES_PER_MB * RECENT_REQUESTS_SHARE
+        return max(int(share / RECENT_REQUEST_BYTES), 2 * self.module.max_in_flight)
+
     @property
     def shutdown_timeout(self) -> float:
         """Milliseconds from SIGTERM until every query is answered."""
