Clients' input: parsed in slices, in turn; queries wait until what lies behind them is read

Cause: one read of 64 KiB is parsed and answered to its end, whatever it costs: a chunk of a byte, a short field or a small request costs 1 to 40 us. A crowd of such reads holds the loop for seconds.

Change: a connection is read 8 KiB at a time. What comes in reads over 2 KiB is parsed in slices of 512 bytes, 2 ms a reactor turn for all connections together, half a millisecond each in turn; inputs that have taken more than 2 ms get one of four turns while others wait. A connection with unparsed input is not read. As its client's end may lie behind that input, queries are admitted only once nothing lies unread behind them (for 50 ms, then they are refused), a peer that has closed is seen in the socket's state, and open queries of a connection that is not read for 50 ms are given up. The requests of a connection are a module of their own.

--- a/tansycrank/http_router/acceptance.py
+++ b/tansycrank/http_router/acceptance.py
@@ -25,12 +25,16 @@
         self.recent_requests = recent_requests
         self._settings, self._counts = settings, counts
 
+    def has_room(self, request: QueryRequest, in_flight: int) -> bool:
+        """Whether a request fits into the limit beside `in_flight` entries."""
+        return in_flight + 1 + len(request.shard_requests) <= self._settings.max_in_flight
+
     def check(self, request: QueryRequest, open_queries: int, in_flight: int, now: float) -> None:
         """Check a request beside `open_queries`, which have `in_flight` entries in the limit."""
         if self.recent_requests.contains(request.id, now):
             self._counts["repeated_ids"] += 1
             raise RequestRejectedError(409, "X-Request-Id: a request of that id may have run")
-        if in_flight + 1 + len(request.shard_requests) > self._settings.max_in_flight:
+        if not self.has_room(request, in_flight):
             self._counts["turned_away"] += 1
             raise RequestRejectedError(503, "too many requests are open")
         idempotency = self._settings.classes[request.query_class].idempotency
--- a/tansycrank/http_router/client_connection.py
+++ b/tansycrank/http_router/client_connection.py
@@ -3,33 +3,31 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
 from enum import Enum
 
-import httptools
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol, connectionDone
 from zope.interface import implementer
 
 from tansycrank.http_router import request_codec as codec
+from tansycrank.http_router.client_input import ClientInput
 from tansycrank.http_router.interfaces import ConnectionServer
 from tansycrank.http_router.pending_answer import PendingAnswer
-from tansycrank.http_router.request_codec import RequestRejectedError, Response
-from tansycrank.http_router.request_parser import (
-    MAX_BODY,
-    MAX_HEAD,
-    ParsedRequest,
-    RequestParser,
+from tansycrank.http_router.pending_requests import (
+    SHUTDOWN_MESSAGE,
+    UNREADABLE_MESSAGE,
+    PendingRequests,
 )
+from tansycrank.http_router.request_codec import RequestRejectedError
+from tansycrank.http_router.request_parser import MAX_BODY, MAX_HEAD, ParsedRequest
 from tansycrank.listening import seconds_since_data
-from tansycrank.routing import FailureReason
 
-READY_PATH = b"/-/ready"
-HEALTHY_PATH = b"/-/healthy"
 MAX_PIPELINE = 32  # unanswered requests per connection
 REQUEST_TIMEOUT = 2.0  # s until a request is complete, from the connect or its first byte
 IDLE_TIMEOUT = 3.0  # s until an unused connection is closed
 UNREAD_TIMEOUT = 5.0  # s until a connection is closed whose client does not read
+MAX_UNREAD_TIME = 0.05  # s for which bytes may lie unread behind open queries; see `admit`
+UNREAD_CHECK_INTERVAL = 0.005  # s
 LINGER_TIME = 0.25  # s between a final error response and the close of the connection
 # Bytes discarded at most while lingering. Closing with unread bytes resets the connection, and the
 # client would lose the error response.
@@ -46,7 +44,6 @@
     CLOSED = "closed"
 
 
-SHUTDOWN_MESSAGE = "this router stops"  # error text of 503 responses
 CLOSING_STATES = (ConnectionState.LINGERING, ConnectionState.CLOSING, ConnectionState.CLOSED)
 
 
@@ -63,21 +60,25 @@
         self.server = server
         self._queued_since = queued_since
         self.state = ConnectionState.OPEN
-        self.pending: deque[PendingAnswer] = deque()
+        self._requests = PendingRequests(server, self.on_requests_changed)
         self.waiting_since = server.now  # s: start of the current wait, for time-outs
         self.has_completed_request = False
         self.unread_since: float | None = None  # s: since when the client does not read
         self._discarded_bytes = 0
         self._discarding_since = 0.0  # s: when the stream was found malformed
-        self._unparsed = bytearray()  # received while the client did not read
-        self._unparsed_since = 0.0  # s: arrival of its first byte
-        self._arrived_at = 0.0  # s: when the bytes being parsed became readable
-        self._parser = RequestParser(self)
+        self._input = ClientInput(
+            self, server.reactor, server.input_scheduler, server.disconnect_monitor
+        )
+
+    @property
+    def pending(self) -> deque[PendingAnswer]:
+        """The requests that were read and not answered, in order."""
+        return self._requests.answers
 
     @property
     def is_idle(self) -> bool:
         """Whether it has no unanswered and no partly read request."""
-        return not self.pending and not self._parser.is_mid_request
+        return not self.pending and self._input.is_empty
 
     @property
     def is_closable(self) -> bool:
@@ -96,9 +97,8 @@
         """Bytes of requests that are read or unanswered, and of answers that were not sent."""
         if self.state is ConnectionState.CLOSED:
             return 0
-        unanswered = sum(answer.held_bytes for answer in self.pending)
         unsent = self.transport.unsent_bytes
-        return self._parser.held_bytes + len(self._unparsed) + unanswered + unsent
+        return self._input.held_bytes + self._requests.held_bytes + unsent
 
     def release_bytes(self) -> None:
         """Reject the requests of this connection and close it."""
@@ -124,15 +124,12 @@
             self._discard(data)
         elif self.unread_since is not None:
             # Pausing the transport would hide a disconnect of the client while requests are queued.
-            if not self._unparsed:
-                self._unparsed_since = self._arrival_time()
-            self._unparsed += data
-            if len(self._unparsed) > MAX_HEAD + MAX_BODY:
+            self._input.hold(data, self._arrival_time())
+            if self._input.unparsed_bytes > MAX_HEAD + MAX_BODY:
                 self.reject_pending()
                 self._abort("more requests than may wait behind unread answers")
         else:
-            self._arrived_at = self._arrival_time()
-            self._parse(data)
+            self._input.receive(data, self._arrival_time())
         self.server.held_bytes.update(self)
 
     def _arrival_time(self) -> float:
@@ -151,12 +148,19 @@
             self.transport.pauseProducing()
             self.reject_pending()
 
-    def _parse(self, data: bytes) -> None:
-        try:
-            self._parser.feed(data)
-        except RequestRejectedError as rejection:
-            if not self.is_closing:  # otherwise the last answer was already written
-                self._reject_and_close(rejection)
+    @property
+    def may_parse(self) -> bool:
+        """Whether requests are read: the stream is sound and the client reads its answers."""
+        return self.state is ConnectionState.OPEN and self.unread_since is None
+
+    def on_malformed(self, rejection: RequestRejectedError) -> None:
+        """Reject a stream that cannot be parsed any further."""
+        if not self.is_closing:  # otherwise the last answer was already written
+            self._reject_and_close(rejection)
+
+    def on_input_parsed(self) -> None:
+        """Report what the connection holds now."""
+        self.server.held_bytes.update(self)
 
     # --- requests ---------------------------------------------------------------------
 
@@ -179,106 +183,51 @@
 
     def on_request(self, request: ParsedRequest) -> None:
         """Answer a status request immediately, or schedule the admission of a query."""
-        answer = PendingAnswer(request.keeps_alive)
         self.has_completed_request = True
-        self.pending.append(answer)
-        self._reject_on_error(answer, lambda: self._dispatch(request, answer))
+        if self._requests.add(request, self._input.arrived_at):
+            self.server.schedule_admission(self)
         self.flush()
 
-    def _reject_on_error(self, answer: PendingAnswer, step: Callable[[], None]) -> None:
-        """Run a step of a request that was not accepted yet; an error is the request's answer.
-
-        Without an answer it would hold its connection, and all answers behind it, for good.
-        """
-        try:
-            step()
-        except RequestRejectedError as rejection:
-            self._answer_rejected(answer, rejection)
-        except Exception as error:  # a fault of the router; other requests must not fail too
-            self.server.log("query_admission_failed", error=repr(error), traceback=True)
-            answer.unadmitted = None
-            self._answer_rejected(answer, RequestRejectedError(503, "it could not be taken"))
-
-    def _dispatch(self, request: ParsedRequest, answer: PendingAnswer) -> None:
-        try:
-            url = httptools.parse_url(request.url)
-        except httptools.HttpParserInvalidURLError as problem:
-            raise RequestRejectedError(400, "an address that cannot be read") from problem
-        path = url.path or b""
-        if path in (READY_PATH, HEALTHY_PATH):
-            answer.response = self._process_status(request.method, path)
-            return
-        answer.is_query = True
-        if request.method != b"POST":
-            raise RequestRejectedError(405, "a query is a POST")
-        settings = self.server.settings
-        answer.unadmitted = codec.decode_query(
-            path,
-            url.query or b"",
-            request.headers,
-            request.body,
-            settings.classes,
-            settings.module.shards,
-        )
-        if not self.server.is_admitting:
-            raise RequestRejectedError(503, SHUTDOWN_MESSAGE)
-        # Time that the request spent unread counts against its deadline.
-        answer.arrived_at = self._arrived_at
-        self.server.schedule_admission(self)
-
-    def _process_status(self, method: bytes, path: bytes) -> Response:
-        if method not in (b"GET", b"HEAD"):
-            raise RequestRejectedError(405, "GET")
-        status = 200 if path == HEALTHY_PATH or self.server.ready else 503
-        return Response(status, b"" if method == b"HEAD" else b"{}")
-
     def admit(self) -> None:
-        """Admit the queries that await admission: the client is still connected."""
-        for answer in [answer for answer in self.pending if answer.unadmitted is not None]:
-            self._admit_query(answer)
-        self.flush()
-        self.server.held_bytes.update(self)
-
-    def _admit_query(self, answer: PendingAnswer) -> None:
-        request, answer.unadmitted = answer.unadmitted, None
-
-        def on_response(response: Response) -> None:
-            answer.response, answer.query = response, None
-            self.flush()
-            self.server.held_bytes.update(self)
+        """Admit the queries that await admission, if the client is still connected."""
+        if self.transport.has_peer_closed:
+            self._on_disconnected()
+        elif self._is_more_to_read():
+            self.server.reactor.callLater(UNREAD_CHECK_INTERVAL, self._admit_later)
+        else:
+            self._requests.admit()
+            self.on_requests_changed()
 
-        def accept() -> None:
-            waited_ms = (self.server.now - answer.arrived_at) * 1000
-            answer.query = self.server.coordinator.accept(request, on_response, waited_ms)
+    def _admit_later(self) -> None:
+        if self.state is not ConnectionState.CLOSED and self.pending:
+            self.server.schedule_admission(self)
 
-        self._reject_on_error(answer, accept)
+    def _is_more_to_read(self) -> bool:
+        """Whether to read what lies behind the queries that await admission before admitting them.
 
-    def _answer_rejected(self, answer: PendingAnswer, rejection: RequestRejectedError) -> None:
-        self.server.on_request_rejected(str(rejection))
-        retry_after_ms = self.server.retry_after if rejection.status == 503 else 0.0
-        answer.response = codec.error_response(rejection.status, str(rejection), retry_after_ms)
+        The end of the connection may lie behind them. If that takes too long, they are rejected.
+        """
+        if not self._input.unparsed_bytes and not self.transport.unread_bytes:
+            return False
+        if self.server.now - self._requests.unadmitted_since < MAX_UNREAD_TIME:
+            return True
+        self._requests.reject_unadmitted(UNREADABLE_MESSAGE)
+        return False
 
     def reject_unadmitted(self) -> None:
         """Reject the queries that await admission because this process stops."""
-        for answer in list(self.pending):
-            if answer.unadmitted is not None:
-                answer.unadmitted = None
-                self._answer_rejected(answer, RequestRejectedError(503, SHUTDOWN_MESSAGE))
+        self._requests.reject_unadmitted(SHUTDOWN_MESSAGE)
         self.flush()
 
     def reject_pending(self) -> None:
-        """Reject all unanswered queries.
+        """Reject all unanswered queries because the connection is not read any more."""
+        self._requests.reject_all()
+        self.flush()
 
-        Called when the connection is no longer read, so a disconnect would go undetected.
-        """
-        for answer in list(self.pending):
-            if answer.query is not None:
-                self.server.coordinator.reject(answer.query, FailureReason.UNREADABLE)
-            elif answer.response is None:
-                answer.unadmitted = None
-                rejection = RequestRejectedError(503, "its connection cannot be read any more")
-                self._answer_rejected(answer, rejection)
+    def on_requests_changed(self) -> None:
+        """Write the available answers, and report what the connection holds now."""
         self.flush()
+        self.server.held_bytes.update(self)
 
     # --- answers and the end ----------------------------------------------------------
 
@@ -303,7 +252,7 @@
         self.state = ConnectionState.DISCARDING
         response = codec.error_response(rejection.status, str(rejection))
         self._discarding_since = self.server.now
-        self._parser.abandon_request()
+        self._input.abandon()
         if self.pending:  # close after the answers to earlier requests
             self.pending.append(PendingAnswer(keeps_alive=False, response=response))
             return
@@ -335,8 +284,8 @@
         self.state = state
         self.server.on_closing(reason)
         coordinator = self.server.coordinator
-        owed = [answer.query.lifecycle_query for answer in self.pending if answer.query is not None]
-        coordinator.lifecycle.close_connection(owed, reason, coordinator.loop.now)
+        queries = self._requests.open_queries
+        coordinator.lifecycle.close_connection(queries, reason, coordinator.loop.now)
 
     def close_if_expired(self, now: float) -> None:
         """Close the connection if a time-out has expired; called by periodic maintenance."""
@@ -351,7 +300,7 @@
         elif self.state is ConnectionState.DISCARDING:
             if now - self._discarding_since >= REQUEST_TIMEOUT:  # the error waits behind answers
                 self.reject_pending()
-        elif self._parser.is_mid_request and waited >= REQUEST_TIMEOUT:
+        elif self._input.is_mid_request and waited >= REQUEST_TIMEOUT:
             self._reject_and_close(
                 RequestRejectedError(408, f"a request has to come within {REQUEST_TIMEOUT} s")
             )
@@ -369,21 +318,30 @@
     def resumeProducing(self) -> None:
         """Parse buffered input: the client reads again."""
         self.unread_since = None
-        unparsed, self._unparsed = self._unparsed, bytearray()
-        self._arrived_at = self._unparsed_since
-        if unparsed and self.state is ConnectionState.OPEN:
-            self._parse(bytes(unparsed))
+        self._input.continue_parsing()
 
     def stopProducing(self) -> None:
         """Clear the paused state: the transport writes nothing more."""
         self.unread_since = None
 
+    def check_disconnected(self, paused_since: float) -> None:
+        """Reject the open queries if the client may have left: it has not been read since then."""
+        if not self.pending:
+            return
+        if self.transport.has_peer_closed:
+            self._on_disconnected()
+        elif self.server.now - paused_since >= MAX_UNREAD_TIME:
+            self.reject_pending()
+
+    def _on_disconnected(self) -> None:
+        """Cancel the queries of a client that has disconnected, and read nothing more of it."""
+        self._requests.abandon_all()
+        self._input.abandon()
+        self._abort("left by its client")
+
     def connectionLost(self, reason=connectionDone) -> None:
         """Cancel the queries of a client that has disconnected."""
         self.state = ConnectionState.CLOSED
         self.server.on_closed(self)
-        for answer in self.pending:
-            if answer.query is not None:
-                self.server.coordinator.abandon(answer.query)
-        self.pending.clear()
-        self._parser.close()
+        self._requests.abandon_all()
+        self._input.close()
--- /dev/null
+++ b/tansycrank/http_router/client_input.py
@@ -0,0 +1,148 @@
+"""The received bytes of a client connection, parsed in slices so that no client holds the loop."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from tansycrank.http_router.disconnect_monitor import DisconnectMonitor, MonitoredConnection
+from tansycrank.http_router.input_scheduler import InputScheduler
+from tansycrank.http_router.request_codec import RequestRejectedError
+from tansycrank.http_router.request_parser import RequestHandler, RequestParser
+
+# Bytes of a slice. The shortest fields, chunks or requests in it take less than 2 ms.
+SLICE_BYTES = 512
+# A read of at most this size is parsed at once: a usual request does not wait behind large ones.
+MAX_IMMEDIATE_BYTES = 2048
+
+
+class InputOwner(RequestHandler, MonitoredConnection, Protocol):
+    """The connection that the bytes were received on."""
+
+    transport: object
+
+    @property
+    def may_parse(self) -> bool:
+        """Whether requests are read now: the stream is sound and the client reads its answers."""
+
+    def on_malformed(self, rejection: RequestRejectedError) -> None:
+        """Handle a stream that cannot be parsed any further."""
+
+    def on_input_parsed(self) -> None:
+        """Handle a change of the bytes that the connection holds."""
+
+
+class ClientInput:
+    """The parser of one connection and the bytes that were received and not parsed yet.
+
+    While there are such bytes, the connection is not read. `arrived_at` is the time (s) at which
+    the bytes being parsed may have become readable.
+    """
+
+    def __init__(
+        self, owner: InputOwner, reactor, scheduler: InputScheduler, monitor: DisconnectMonitor
+    ) -> None:
+        self._owner, self._reactor = owner, reactor
+        self._scheduler, self._monitor = scheduler, monitor
+        self._parser = RequestParser(owner)
+        self._unparsed = bytearray()
+        self.arrived_at = 0.0
+        self.parse_seconds = 0.0  # time spent on parsing and answering what was parsed
+        self._is_paused = False  # whether the connection is not read
+        self._paused_since: float | None = None  # s: when what is read next may have arrived
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no request was read in part and nothing is left to parse."""
+        return not self._parser.is_mid_request and not self._unparsed
+
+    @property
+    def is_mid_request(self) -> bool:
+        """Whether a request has started and is incomplete."""
+        return self._parser.is_mid_request
+
+    @property
+    def unparsed_bytes(self) -> int:
+        """Number of bytes that were received and not parsed."""
+        return len(self._unparsed)
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes held of the request that was read in part, and of those behind it."""
+        return self._parser.held_bytes + len(self._unparsed)
+
+    def receive(self, data: bytes, arrived_at: float) -> None:
+        """Parse received bytes now if they are few, else in slices."""
+        if self._unparsed or len(data) > MAX_IMMEDIATE_BYTES:
+            self.hold(data, arrived_at)
+            self.continue_parsing()
+            return
+        self.arrived_at = self._earliest(arrived_at)
+        started = self._reactor.seconds()
+        self._feed(data)
+        self.parse_seconds += self._reactor.seconds() - started
+
+    def hold(self, data: bytes, arrived_at: float) -> None:
+        """Keep received bytes; `continue_parsing` parses them."""
+        if not self._unparsed:
+            self.arrived_at = self._earliest(arrived_at)
+        self._unparsed += data
+
+    def _earliest(self, arrived_at: float) -> float:
+        """Return when bytes may have arrived: they lay in the kernel while it was not read."""
+        paused_since, self._paused_since = self._paused_since, None
+        return arrived_at if paused_since is None else min(arrived_at, paused_since)
+
+    def continue_parsing(self) -> None:
+        """Parse what is left, in turn with other connections."""
+        if self._unparsed and self._owner.may_parse:
+            self._pause_reading()
+            self._scheduler.submit(self)
+
+    def parse(self, until: float) -> bool:
+        """Parse slices until the time `until` (s); return whether some are left."""
+        started = self._reactor.seconds()
+        while self._unparsed and self._owner.may_parse:
+            piece = bytes(self._unparsed[:SLICE_BYTES])
+            del self._unparsed[:SLICE_BYTES]
+            self._feed(piece)
+            if self._reactor.seconds() >= until:
+                break
+        self.parse_seconds += self._reactor.seconds() - started
+        is_left = bool(self._unparsed) and self._owner.may_parse
+        if not is_left:
+            self._resume_reading()
+        self._owner.on_input_parsed()
+        return is_left
+
+    def _feed(self, piece: bytes) -> None:
+        try:
+            self._parser.feed(piece)
+        except RequestRejectedError as rejection:
+            self._unparsed.clear()
+            self._owner.on_malformed(rejection)
+
+    def _pause_reading(self) -> None:
+        if not self._is_paused:
+            self._is_paused, self._paused_since = True, self._reactor.seconds()
+            self._owner.transport.pauseProducing()
+            self._monitor.add(self._owner)
+
+    def _resume_reading(self) -> None:
+        if self._is_paused:
+            self._is_paused = False
+            self._monitor.remove(self._owner)
+            self._owner.transport.resumeProducing()
+
+    def abandon(self) -> None:
+        """Discard all that was received: nothing more is parsed. The connection is read again."""
+        self._parser.abandon_request()
+        self._unparsed.clear()
+        self._scheduler.cancel(self)
+        self._resume_reading()
+
+    def close(self) -> None:
+        """Release the parser: the connection has closed."""
+        self._scheduler.cancel(self)
+        self._monitor.remove(self._owner)
+        self._unparsed.clear()
+        self._parser.close()
--- a/tansycrank/http_router/coordinator.py
+++ b/tansycrank/http_router/coordinator.py
@@ -18,13 +18,7 @@
 from tansycrank.http_router.outgoing_call import OutgoingCall
 from tansycrank.http_router.recent_requests import RecentRequests
 from tansycrank.http_router.request_codec import QueryRequest, RequestRejectedError, Response
-from tansycrank.lifecycle import (
-    AnswerKind,
-    AttemptDeniedError,
-    Lifecycle,
-    QueryState,
-    Violation,
-)
+from tansycrank.lifecycle import AnswerKind, AttemptDeniedError, Lifecycle, Violation
 from tansycrank.policy_event_loop import PolicyEventLoop
 from tansycrank.routing import FailureReason
 
@@ -90,6 +84,10 @@
 
     # --- queries ----------------------------------------------------------------------
 
+    def has_room(self, request: QueryRequest) -> bool:
+        """Whether the limit on queries and shard requests in flight allows another query."""
+        return self.acceptance.has_room(request, self.in_flight)
+
     def accept(
         self,
         request: QueryRequest,
@@ -375,9 +373,8 @@
 
     def _end(self, query: ActiveQuery) -> None:
         del self.queries[query.request.id], self._queries_by_id[query.id]
-        was_abandoned = query.lifecycle_query.state is QueryState.ABANDONED
         self.acceptance.recent_requests.record(
-            query.request.id, query.lifecycle_query, was_abandoned, self.loop.now
+            query.request.id, query.lifecycle_query, self.loop.now
         )
         self.in_flight -= query.size
         for shard_request in query.shard_requests:
--- a/tansycrank/http_router/http_server.py
+++ b/tansycrank/http_router/http_server.py
@@ -11,6 +11,8 @@
 from tansycrank.http_router.client_connection import ClientConnection
 from tansycrank.http_router.coordinator import Coordinator
 from tansycrank.http_router.delayed_admission import DelayedAdmission
+from tansycrank.http_router.disconnect_monitor import DisconnectMonitor
+from tansycrank.http_router.input_scheduler import InputScheduler
 from tansycrank.http_router.settings import Settings
 
 # s a new connection is protected from eviction: its first request may be in transit
@@ -50,6 +52,8 @@
         self.idle_after_query: dict[ClientConnection, None] = {}
         self.held_bytes = ByteBudget(settings.max_client_bytes)
         self.delayed_admission = DelayedAdmission(reactor)
+        self.input_scheduler = InputScheduler(reactor)
+        self.disconnect_monitor = DisconnectMonitor(reactor)
         self.ready = False
         self.draining = False
         self.is_admitting = True  # otherwise queries are rejected when parsed
--- a/tansycrank/http_router/interfaces.py
+++ b/tansycrank/http_router/interfaces.py
@@ -7,6 +7,8 @@
 
 from tansycrank.byte_budget import ByteBudget
 from tansycrank.http_router.coordinator import Coordinator
+from tansycrank.http_router.disconnect_monitor import DisconnectMonitor
+from tansycrank.http_router.input_scheduler import InputScheduler
 from tansycrank.http_router.settings import Settings
 
 
@@ -19,6 +21,8 @@
     log: Callable[..., None]
     unread_seconds: Callable[[], float]
     held_bytes: ByteBudget  # of all its connections
+    input_scheduler: InputScheduler
+    disconnect_monitor: DisconnectMonitor
     ready: bool
     draining: bool
     is_admitting: bool
--- a/tansycrank/http_router/settings.py
+++ b/tansycrank/http_router/settings.py
@@ -150,9 +150,9 @@
 
     @property
     def max_recent_requests(self) -> int:
-        """Maximum number of ended requests whose ids are known."""
+        """Maximum number of ended requests whose ids are known, idempotent ones and others."""
         share = self.memory_mb * BYTES_PER_MB * RECENT_REQUESTS_SHARE
-        return max(int(share / RECENT_REQUEST_BYTES), 2 * self.module.max_in_flight)
+        return max(int(share / RECENT_REQUEST_BYTES / 2), 2 * self.module.max_in_flight)
 
     @property
     def shutdown_timeout(self) -> float:
--- a/tansycrank/listening.py
+++ b/tansycrank/listening.py
@@ -15,24 +15,30 @@
 import termios
 from contextlib import suppress
 
-from twisted.internet import tcp
+from twisted.internet import main, tcp
 
 ACCEPT_RETRY_SECONDS = 0.02
+MAX_READ_BYTES = 8192  # of one connection in a reactor turn
 ACCEPT_QUEUE_EMPTY = (errno.EAGAIN, errno.EWOULDBLOCK)
 TCP_INFO_BYTES = 104
 LAST_DATA_RECEIVED = struct.Struct("=52xI")  # ms since then, in Linux's `struct tcp_info`
 UNREAD_BYTES = struct.Struct("i")  # result of FIONREAD
+PEER_CLOSED_STATES = (7, 8)  # TCP_CLOSE and TCP_CLOSE_WAIT of Linux, first byte of `tcp_info`
 
 
-def seconds_since_data(connection: socket.socket) -> float:
-    """Return how long ago the kernel received data on a connection; 0 if it does not report it."""
+def _tcp_info(connection: socket.socket) -> bytes:
+    """Return Linux's `struct tcp_info`; empty if the kernel does not report it."""
     try:
         info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
     except OSError:
-        return 0.0
-    if len(info) < LAST_DATA_RECEIVED.size:
-        return 0.0
-    return LAST_DATA_RECEIVED.unpack_from(info)[0] / 1000
+        return b""
+    return info if len(info) >= LAST_DATA_RECEIVED.size else b""
+
+
+def seconds_since_data(connection: socket.socket) -> float:
+    """Return how long ago the kernel received data on a connection; 0 if it does not report it."""
+    info = _tcp_info(connection)
+    return LAST_DATA_RECEIVED.unpack_from(info)[0] / 1000 if info else 0.0
 
 
 class ListeningSocket(socket.socket):
@@ -74,6 +80,22 @@
             return 0
         return UNREAD_BYTES.unpack(result)[0]
 
+    @property
+    def has_peer_closed(self) -> bool:
+        """Whether the peer has closed its side, even if bytes from before lie unread."""
+        info = _tcp_info(self.socket)
+        return bool(info) and info[0] in PEER_CLOSED_STATES
+
+    def doRead(self) -> Exception | None:
+        """Read what has arrived, up to `MAX_READ_BYTES`; return why the connection has ended."""
+        try:
+            data = self.socket.recv(MAX_READ_BYTES)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return main.CONNECTION_LOST
+        return self._dataReceived(data)
+
     def loseConnection(self, *args: object) -> None:
         """Close once the written bytes were sent; without any, the client is told at once.
 
