Memory: large bodies are read once their memory is reserved, and closed connections are freed at once

Cause, from a trace of a scratch copy (objects alive, bytes of each holder, every 0.25 s): all connections read a part of a body, and the largest was rejected at each further read: 6,558 rejections in 6 s.

Change: a body over 4 KiB is read once its size is reserved (half of the bytes that clients may hold); others wait unread in the order they came, for 1 s, then 503. A closed connection leaves no cycle and no timer of its linger. The linger ends once the answer was passed to the kernel. Small reads are parsed at once for 2 ms a turn, then in turn too; inputs of kept connections go before those of new ones.

--- a/tansycrank/http_router/client_connection.py
+++ b/tansycrank/http_router/client_connection.py
@@ -24,6 +24,7 @@
 
 MAX_PIPELINE = 32  # unanswered requests per connection
 REQUEST_TIMEOUT = 2.0  # s until a request is complete, from the connect or its first byte
+MEMORY_TIMEOUT = 1.0  # s, from its first byte, for a large request to get memory
 IDLE_TIMEOUT = 3.0  # s until an unused connection is closed
 UNREAD_TIMEOUT = 5.0  # s until a connection is closed whose client does not read
 MAX_UNREAD_TIME = 0.05  # s for which bytes may lie unread behind open queries; see `admit`
@@ -64,10 +65,15 @@
         self.waiting_since = server.now  # s: start of the current wait, for time-outs
         self.has_completed_request = False
         self.unread_since: float | None = None  # s: since when the client does not read
+        self._linger_timer = None
         self._discarded_bytes = 0
         self._discarding_since = 0.0  # s: when the stream was found malformed
         self._input = ClientInput(
-            self, server.reactor, server.input_scheduler, server.disconnect_monitor
+            self,
+            server.reactor,
+            server.input_scheduler,
+            server.disconnect_monitor,
+            server.body_reservations,
         )
 
     @property
@@ -264,7 +270,15 @@
         self._begin_close(ConnectionState.LINGERING, "unreadable")
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
-        self.server.reactor.callLater(LINGER_TIME, self.transport.abortConnection)
+        self._linger_timer = self.server.reactor.callLater(LINGER_TIME, self._end_linger)
+
+    def _end_linger(self) -> None:
+        """Close for good, once the answer has been passed to the kernel."""
+        self._linger_timer = None
+        if self.transport.unsent_bytes and self.server.now - self.waiting_since < UNREAD_TIMEOUT:
+            self._linger_timer = self.server.reactor.callLater(LINGER_TIME, self._end_linger)
+        else:
+            self.transport.abortConnection()
 
     def close(self, reason: str) -> None:
         """Close once written data was sent."""
@@ -300,6 +314,10 @@
         elif self.state is ConnectionState.DISCARDING:
             if now - self._discarding_since >= REQUEST_TIMEOUT:  # the error waits behind answers
                 self.reject_pending()
+        elif self._input.waits_for_memory and waited >= MEMORY_TIMEOUT:
+            self._reject_and_close(
+                RequestRejectedError(503, "there is no memory for a large request now")
+            )
         elif self._input.is_mid_request and waited >= REQUEST_TIMEOUT:
             self._reject_and_close(
                 RequestRejectedError(408, f"a request has to come within {REQUEST_TIMEOUT} s")
@@ -343,5 +361,8 @@
         """Cancel the queries of a client that has disconnected."""
         self.state = ConnectionState.CLOSED
         self.server.on_closed(self)
-        self._requests.abandon_all()
+        self._requests.close()
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
+            self._linger_timer = None
         self._input.close()
--- a/tansycrank/http_router/client_input.py
+++ b/tansycrank/http_router/client_input.py
@@ -4,10 +4,11 @@
 
 from typing import Protocol
 
+from tansycrank.http_router.body_reservations import BodyReservations
 from tansycrank.http_router.disconnect_monitor import DisconnectMonitor, MonitoredConnection
 from tansycrank.http_router.input_scheduler import InputScheduler
 from tansycrank.http_router.request_codec import RequestRejectedError
-from tansycrank.http_router.request_parser import RequestHandler, RequestParser
+from tansycrank.http_router.request_parser import SMALL_BODY, RequestHandler, RequestParser
 
 # Bytes of a slice. The shortest fields, chunks or requests in it take less than 2 ms.
 SLICE_BYTES = 512
@@ -19,6 +20,7 @@
     """The connection that the bytes were received on."""
 
     transport: object
+    has_completed_request: bool
 
     @property
     def may_parse(self) -> bool:
@@ -39,14 +41,20 @@
     """
 
     def __init__(
-        self, owner: InputOwner, reactor, scheduler: InputScheduler, monitor: DisconnectMonitor
+        self,
+        owner: InputOwner,
+        reactor,
+        scheduler: InputScheduler,
+        monitor: DisconnectMonitor,
+        reservations: BodyReservations,
     ) -> None:
         self._owner, self._reactor = owner, reactor
-        self._scheduler, self._monitor = scheduler, monitor
+        self._scheduler, self._monitor, self._reservations = scheduler, monitor, reservations
         self._parser = RequestParser(owner)
         self._unparsed = bytearray()
         self.arrived_at = 0.0
         self.parse_seconds = 0.0  # time spent on parsing and answering what was parsed
+        self.waits_for_memory = False  # since then the connection is not read
         self._is_paused = False  # whether the connection is not read
         self._paused_since: float | None = None  # s: when what is read next may have arrived
 
@@ -72,14 +80,18 @@
 
     def receive(self, data: bytes, arrived_at: float) -> None:
         """Parse received bytes now if they are few, else in slices."""
-        if self._unparsed or len(data) > MAX_IMMEDIATE_BYTES:
+        is_cheap = len(data) <= max(MAX_IMMEDIATE_BYTES, self._parser.unread_body_bytes)
+        is_behind = self._unparsed or self.waits_for_memory
+        if is_behind or not is_cheap or not self._scheduler.has_time:
             self.hold(data, arrived_at)
             self.continue_parsing()
             return
         self.arrived_at = self._earliest(arrived_at)
         started = self._reactor.seconds()
         self._feed(data)
-        self.parse_seconds += self._reactor.seconds() - started
+        taken = self._reactor.seconds() - started
+        self.parse_seconds += taken
+        self._scheduler.record_immediate(taken)
 
     def hold(self, data: bytes, arrived_at: float) -> None:
         """Keep received bytes; `continue_parsing` parses them."""
@@ -94,22 +106,30 @@
 
     def continue_parsing(self) -> None:
         """Parse what is left, in turn with other connections."""
-        if self._unparsed and self._owner.may_parse:
+        if self._unparsed and self._may_parse:
             self._pause_reading()
-            self._scheduler.submit(self)
+            self._scheduler.submit(self, self._owner.has_completed_request)
+
+    @property
+    def _may_parse(self) -> bool:
+        is_open = self._owner is not None and self._owner.may_parse
+        return is_open and not self.waits_for_memory
 
     def parse(self, until: float) -> bool:
         """Parse slices until the time `until` (s); return whether some are left."""
         started = self._reactor.seconds()
-        while self._unparsed and self._owner.may_parse:
-            piece = bytes(self._unparsed[:SLICE_BYTES])
-            del self._unparsed[:SLICE_BYTES]
+        while self._unparsed and self._may_parse:
+            size = max(SLICE_BYTES, self._parser.unread_body_bytes)
+            piece = bytes(self._unparsed[:size])
+            del self._unparsed[:size]
             self._feed(piece)
             if self._reactor.seconds() >= until:
                 break
         self.parse_seconds += self._reactor.seconds() - started
-        is_left = bool(self._unparsed) and self._owner.may_parse
-        if not is_left:
+        if self._owner is None:
+            return False
+        is_left = bool(self._unparsed) and self._may_parse
+        if not is_left and not self.waits_for_memory:
             self._resume_reading()
         self._owner.on_input_parsed()
         return is_left
@@ -119,7 +139,27 @@
             self._parser.feed(piece)
         except RequestRejectedError as rejection:
             self._unparsed.clear()
-            self._owner.on_malformed(rejection)
+            if self._owner is not None:  # a connection may close while it is answered
+                self._owner.on_malformed(rejection)
+            return
+        if self._owner is not None:
+            self._update_reservation()
+
+    def _update_reservation(self) -> None:
+        size = self._parser.expected_body_bytes
+        if size <= SMALL_BODY:
+            self._reservations.release(self)
+        elif not self._reservations.reserve(self, size):
+            self.waits_for_memory = True
+            self._pause_reading()
+
+    def on_reserved(self) -> None:
+        """Read the body: its memory is reserved."""
+        self.waits_for_memory = False
+        if self._unparsed:
+            self.continue_parsing()
+        else:
+            self._resume_reading()
 
     def _pause_reading(self) -> None:
         if not self._is_paused:
@@ -138,11 +178,18 @@
         self._parser.abandon_request()
         self._unparsed.clear()
         self._scheduler.cancel(self)
+        self.waits_for_memory = False
+        self._reservations.release(self)
         self._resume_reading()
 
     def close(self) -> None:
-        """Release the parser: the connection has closed."""
+        """Release all that it holds: the connection has closed.
+
+        No reference cycle is left, since the garbage collector may come much later.
+        """
         self._scheduler.cancel(self)
         self._monitor.remove(self._owner)
+        self._reservations.release(self)
         self._unparsed.clear()
         self._parser.close()
+        self._owner = None
--- a/tansycrank/http_router/http_server.py
+++ b/tansycrank/http_router/http_server.py
@@ -8,6 +8,7 @@
 from twisted.internet.protocol import Factory
 
 from tansycrank.byte_budget import ByteBudget
+from tansycrank.http_router.body_reservations import BodyReservations
 from tansycrank.http_router.client_connection import ClientConnection
 from tansycrank.http_router.coordinator import Coordinator
 from tansycrank.http_router.delayed_admission import DelayedAdmission
@@ -53,6 +54,7 @@
         self.held_bytes = ByteBudget(settings.max_client_bytes)
         self.delayed_admission = DelayedAdmission(reactor)
         self.input_scheduler = InputScheduler(reactor)
+        self.body_reservations = BodyReservations(settings.max_reserved_bytes)
         self.disconnect_monitor = DisconnectMonitor(reactor)
         self.ready = False
         self.draining = False
--- a/tansycrank/http_router/input_scheduler.py
+++ b/tansycrank/http_router/input_scheduler.py
@@ -1,13 +1,12 @@
-"""Gives connections with much unparsed input their turns, within a time limit a reactor turn."""
+"""Gives connections with unparsed input their turns, within a time limit a reactor turn."""
 
 from __future__ import annotations
 
 from typing import Protocol
 
-TURN_SECONDS = 0.002  # for parsing in one reactor turn, beside reads of few bytes
+TURN_SECONDS = 0.002  # for parsing in turns, and as much for small reads, in one reactor turn
 QUANTUM_SECONDS = 0.0005  # for one connection until the next has its turn
 LONG_INPUT_SECONDS = 0.002  # from which on an input counts as long
-LONG_INPUT_SHARE = 4  # one of so many quanta is for long inputs while short ones wait
 
 
 class ScheduledInput(Protocol):
@@ -18,55 +17,75 @@
 
 
 class InputScheduler:
-    """Two queues, served in turn: inputs that have taken little time so far go first."""
+    """Three queues, each served in turn: of kept connections, of new ones, and of long inputs.
+
+    Inputs of kept connections, which have had a request before, go first half of the time: a crowd
+    of new connections does not delay them. Inputs that have taken long go a quarter of the time.
+    """
 
     def __init__(self, reactor) -> None:
         self._reactor = reactor
-        self._short: dict[ScheduledInput, float] = {}  # with seconds taken so far, next one first
+        # with the seconds taken so far, the next one first
+        self._kept: dict[ScheduledInput, float] = {}
+        self._new: dict[ScheduledInput, float] = {}
         self._long: dict[ScheduledInput, float] = {}
+        self._orders = (
+            (self._kept, self._new, self._long),
+            (self._new, self._kept, self._long),
+            (self._kept, self._new, self._long),
+            (self._long, self._kept, self._new),
+        )
         self._quanta = 0
+        self._immediate_seconds = 0.0  # taken by small reads in this reactor turn
         self._turn = None  # the timer of the next turn
 
     def __len__(self) -> int:
-        return len(self._short) + len(self._long)
+        return len(self._kept) + len(self._new) + len(self._long)
+
+    @property
+    def has_time(self) -> bool:
+        """Whether a small read may be parsed immediately in this reactor turn."""
+        return self._immediate_seconds < TURN_SECONDS
 
-    def submit(self, input: ScheduledInput) -> None:
+    def record_immediate(self, seconds: float) -> None:
+        """Count the time that an immediate parse has taken."""
+        self._immediate_seconds += seconds
+        self._start_turn()
+
+    def submit(self, input: ScheduledInput, is_kept: bool) -> None:
         """Parse an input from the next reactor turn on, until none of it is left."""
-        if input not in self._short and input not in self._long:
-            self._short[input] = 0.0
+        if not any(input in queue for queue in self._orders[0]):
+            queue = self._kept if is_kept else self._new
+            queue[input] = 0.0
             self._start_turn()
 
     def cancel(self, input: ScheduledInput) -> None:
         """Drop an input."""
-        self._short.pop(input, None)
-        self._long.pop(input, None)
+        for queue in self._orders[0]:
+            queue.pop(input, None)
 
     def _start_turn(self) -> None:
-        if self._turn is None and len(self):
+        if self._turn is None:
             self._turn = self._reactor.callLater(0, self._run)
 
     def _run(self) -> None:
-        self._turn = None
+        self._turn, self._immediate_seconds = None, 0.0
         until = self._reactor.seconds() + TURN_SECONDS
         while len(self):
             self._run_quantum(until)
             if self._reactor.seconds() >= until:
                 break
-        self._start_turn()
+        if len(self):
+            self._start_turn()
 
     def _run_quantum(self, turn_end: float) -> None:
-        queue = self._next_queue()
+        self._quanta += 1
+        order = self._orders[self._quanta % len(self._orders)]
+        queue = next(queue for queue in order if queue)
         input = next(iter(queue))
         taken = queue.pop(input)
         started = self._reactor.seconds()
         if input.parse(min(started + QUANTUM_SECONDS, turn_end)):
             taken += self._reactor.seconds() - started
-            target = self._short if taken < LONG_INPUT_SECONDS else self._long
+            target = queue if taken < LONG_INPUT_SECONDS else self._long
             target[input] = taken
-
-    def _next_queue(self) -> dict[ScheduledInput, float]:
-        self._quanta += 1
-        is_turn_of_long = self._quanta % LONG_INPUT_SHARE == 0
-        if self._long and (is_turn_of_long or not self._short):
-            return self._long
-        return self._short
--- a/tansycrank/http_router/interfaces.py
+++ b/tansycrank/http_router/interfaces.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from tansycrank.byte_budget import ByteBudget
+from tansycrank.http_router.body_reservations import BodyReservations
 from tansycrank.http_router.coordinator import Coordinator
 from tansycrank.http_router.disconnect_monitor import DisconnectMonitor
 from tansycrank.http_router.input_scheduler import InputScheduler
@@ -23,6 +24,7 @@
     held_bytes: ByteBudget  # of all its connections
     input_scheduler: InputScheduler
     disconnect_monitor: DisconnectMonitor
+    body_reservations: BodyReservations
     ready: bool
     draining: bool
     is_admitting: bool
--- a/tansycrank/http_router/pending_requests.py
+++ b/tansycrank/http_router/pending_requests.py
@@ -31,7 +31,8 @@
     def __init__(self, server: ConnectionServer, on_answered: Callable[[], None]) -> None:
         self.answers: deque[PendingAnswer] = deque()  # in the order of their requests
         self.unadmitted_since = 0.0  # s: since when queries await admission
-        self._server, self._on_answered = server, on_answered
+        self._server = server
+        self._on_answered: Callable[[], None] | None = on_answered
 
     @property
     def held_bytes(self) -> int:
@@ -104,7 +105,8 @@
 
         def on_response(response: Response) -> None:
             answer.response, answer.query = response, None
-            self._on_answered()
+            if self._on_answered is not None:
+                self._on_answered()
 
         def accept() -> None:
             if not coordinator.has_room(request):
@@ -159,3 +161,8 @@
             if answer.query is not None:
                 self._server.coordinator.abandon(answer.query)
         self.answers.clear()
+
+    def close(self) -> None:
+        """Cancel all queries and release the connection, which has closed."""
+        self.abandon_all()
+        self._on_answered = None
--- a/tansycrank/http_router/request_parser.py
+++ b/tansycrank/http_router/request_parser.py
@@ -14,6 +14,7 @@
 from tansycrank.http_router.request_codec import RequestRejectedError
 
 MAX_BODY = 64 * 1024  # bytes per request body, as the protocol defines
+SMALL_BODY = 4 * 1024  # bytes up to which a body is read without a reservation of memory
 MAX_HEAD = 16 * 1024  # bytes per request head, including the trailer fields behind its body
 MAX_FIELDS = 100  # header and trailer fields of a request
 FIELD_OVERHEAD_BYTES = 200  # of the objects that hold a field, beside its bytes
@@ -72,6 +73,7 @@
         self._headers: dict[bytes, bytes] = {}
         self._field_count = 0  # a repeated field counts again
         self._body = bytearray()
+        self._body_length = 0  # as announced; 0 if it comes in chunks
         self._head_bytes = 0  # bytes received that are neither body nor framing of chunks
 
     @property
@@ -86,13 +88,27 @@
             return 0
         return self._head_bytes + self._field_count * FIELD_OVERHEAD_BYTES + len(self._body)
 
+    @property
+    def unread_body_bytes(self) -> int:
+        """Bytes that are left of a body of announced length; they are cheap to parse."""
+        return max(self._body_length - len(self._body), 0) if self.is_mid_request else 0
+
+    @property
+    def expected_body_bytes(self) -> int:
+        """Bytes that the body of the partly read request may take, or have taken already."""
+        if not self.is_mid_request:
+            return 0
+        is_large_in_chunks = not self._body_length and len(self._body) > SMALL_BODY
+        return MAX_BODY if is_large_in_chunks else max(self._body_length, len(self._body))
+
     def abandon_request(self) -> None:
         """Discard the partly read request."""
         self.phase = RequestPhase.BETWEEN_REQUESTS
         self._reset()
 
     def close(self) -> None:
-        """Break the reference cycles with the llhttp parser and the handler."""
+        """Release what was read, and the llhttp parser and the handler, which refer to this."""
+        self.abandon_request()
         self._parser = self._handler = self._rejection = None
 
     def feed(self, data: bytes) -> None:
@@ -140,7 +156,8 @@
     def on_headers_complete(self) -> None:
         """Check the headers before the body is read."""
         length = self._headers.get(b"content-length", b"0")
-        if length.isdigit() and int(length) > MAX_BODY:
+        self._body_length = int(length) if length.isdigit() else 0
+        if self._body_length > MAX_BODY:
             self._reject(413, f"a body holds at most {MAX_BODY} bytes")
         if b"host" not in self._headers and self._parser.get_http_version() == "1.1":
             self._reject(400, "Host: missing")
--- a/tansycrank/http_router/settings.py
+++ b/tansycrank/http_router/settings.py
@@ -143,6 +143,11 @@
         """Maximum number of bytes that all client connections hold together."""
         return int(self.memory_mb * BYTES_PER_MB * HELD_BYTES_SHARE)
 
+    @property
+    def max_reserved_bytes(self) -> int:
+        """Maximum number of bytes reserved for large request bodies that are being read."""
+        return self.max_client_bytes // 2
+
     @property
     def max_node_bytes(self) -> int:
         """Maximum number of bytes that all connections to data nodes hold together."""
--- a/tests/http_router/test_held_bytes.py
+++ b/tests/http_router/test_held_bytes.py
@@ -1,9 +1,11 @@
 """The bytes that all connections of the router hold together, on real processes and in memory."""
 
 import contextlib
+import gc
 import json
 import socket
 import time
+import weakref
 from pathlib import Path
 
 import pytest
@@ -12,6 +14,7 @@
 from test_hostile_clients import LIMITS, MEMORY_LIMIT_MB, Flood, memory_mb
 from test_node_connections import PoolHarness, outcomes
 
+from tansycrank.http_router import client_connection
 from tansycrank.http_router.connection_pool import ConnectionPool
 from tansycrank.routing import Outcome
 
@@ -182,3 +185,75 @@
     assert outcomes(harness) == {"a.1": [Outcome.CONNECTION_LOST]} and first.transport.over
     second.send(answer("b.1", value=LARGE_TEXT)[30_000:])
     assert outcomes(harness)["b.1"] == [Outcome.SUCCEEDED]
+
+
+def finish_request(harness, protocol, transport):
+    protocol.dataReceived(STATUS_REQUEST)
+
+
+def finish_query(harness, protocol, transport):
+    harness.send_request(post(id="q"), (protocol, transport))
+    [(peer, id, _)] = harness.take_shard_requests()
+    peer.send(answer(id))
+    harness.run(0)
+
+
+def stop_halfway(harness, protocol, transport):
+    protocol.dataReceived(large_request("half")[:40_000])
+
+
+def be_malformed(harness, protocol, transport):
+    protocol.dataReceived(b"\x16\x03\x01\r\n\r\n")
+
+
+@pytest.mark.parametrize("use", [finish_request, finish_query, stop_halfway, be_malformed])
+def test_a_closed_connection_is_released_without_the_garbage_collector(use):
+    """Guards against closed connections in reference cycles, which stay until a late collection."""
+    harness = RouterHarness()
+    gc.disable()
+    try:
+        protocol, transport = harness.client()
+        use(harness, protocol, transport)
+        released = weakref.ref(protocol)
+        transport.end()
+        del transport.protocol, transport.producer
+        del protocol, transport
+        harness.run(0)
+        assert released() is None
+    finally:
+        gc.enable()
+
+
+def test_bodies_above_the_reserved_memory_wait_unread_and_are_refused_in_time():
+    """Guards against bodies that all are read in part until no memory is left for any."""
+    limits = {"cores": 1.0, "memory_mb": 16, "sockets": 128}  # 1 MiB reserved at most
+    harness = RouterHarness(config(limits=limits))
+    clients = [harness.client() for _ in range(30)]
+    for number, (protocol, _) in enumerate(clients):
+        protocol.dataReceived(large_request(f"half{number}")[:8_000])
+    harness.run(0)
+    paused = [transport for _, transport in clients if transport.producerState == "paused"]
+    assert len(clients) - len(paused) == 1024 * 1024 // len(large_request("half1"))
+    small = harness.send_request(post(id="small"))
+    [(peer, id, _)] = harness.take_shard_requests()
+    peer.send(answer(id))
+    harness.run(0)
+    assert status(small.take()) == 200
+    harness.run(client_connection.MEMORY_TIMEOUT + 0.5)
+    assert {status(transport.take()) for transport in paused} == {503}
+    assert harness.daemon.server.body_reservations.waiting == 0
+
+
+def test_a_body_that_waited_for_memory_is_read_once_others_have_ended():
+    harness = RouterHarness()
+    harness.daemon.server.body_reservations.limit_bytes = 70_000
+    first, second = harness.client(), harness.client()
+    first[0].dataReceived(large_request("first")[:8_000])
+    second[0].dataReceived(large_request("second")[:8_000])
+    harness.run(0)
+    assert second[1].producerState == "paused"
+    first[0].dataReceived(large_request("first")[8_000:])
+    harness.run(0)
+    assert second[1].producerState == "producing"
+    second[0].dataReceived(large_request("second")[8_000:])
+    assert {id for _, id, _ in harness.take_shard_requests()} == {"first.0", "second.0"}
--- a/tests/http_router/test_input_slices.py
+++ b/tests/http_router/test_input_slices.py
@@ -65,7 +65,7 @@
 def test_a_turn_is_bounded_however_much_input_waits(clock):
     scheduler, taken = InputScheduler(clock), Counter()
     for _ in range(100):
-        scheduler.submit(Input(clock, 1.0, taken))
+        scheduler.submit(Input(clock, 1.0, taken), False)
     for _ in range(20):
         assert clock.run_turn() <= TURN_SECONDS + QUANTUM_SECONDS
 
@@ -74,7 +74,7 @@
     scheduler, taken = InputScheduler(clock), Counter()
     inputs = [Input(clock, 1.0, taken) for _ in range(4)]
     for one in inputs:
-        scheduler.submit(one)
+        scheduler.submit(one, False)
     for _ in range(50):
         clock.run_turn()
     times = [taken[one] for one in inputs]
@@ -86,25 +86,46 @@
     scheduler, taken = InputScheduler(clock), Counter()
     crowd = [Input(clock, 10.0, taken) for _ in range(50)]
     for one in crowd:
-        scheduler.submit(one)
+        scheduler.submit(one, False)
     while min(taken[one] for one in crowd) < LONG_INPUT_SECONDS:
         clock.run_turn()
     before = sum(taken.values())
     usual = Input(clock, 2 * QUANTUM_SECONDS, taken)
-    scheduler.submit(usual)
+    scheduler.submit(usual, True)
     clock.run_turn()
     assert usual.left == pytest.approx(0.0)
     for _ in range(10):
-        scheduler.submit(Input(clock, LONG_INPUT_SECONDS / 2, taken))
+        scheduler.submit(Input(clock, LONG_INPUT_SECONDS / 2, taken), True)
         clock.run_turn()
     assert sum(taken[one] for one in crowd) > before
 
 
+def test_a_kept_connection_goes_before_a_crowd_of_new_ones(clock):
+    """Guards against kept connections that wait behind connections opened at full speed."""
+    scheduler, taken = InputScheduler(clock), Counter()
+    for _ in range(500):
+        scheduler.submit(Input(clock, QUANTUM_SECONDS, taken), False)
+    kept = Input(clock, QUANTUM_SECONDS, taken)
+    scheduler.submit(kept, True)
+    clock.run_turn()
+    assert taken[kept]
+
+
+def test_small_reads_are_parsed_at_once_as_long_as_the_turn_has_time(clock):
+    scheduler = InputScheduler(clock)
+    scheduler.record_immediate(TURN_SECONDS / 2)
+    assert scheduler.has_time
+    scheduler.record_immediate(TURN_SECONDS / 2)
+    assert not scheduler.has_time
+    clock.run_turn()
+    assert scheduler.has_time
+
+
 def test_a_cancelled_input_is_not_parsed(clock):
     scheduler, taken = InputScheduler(clock), Counter()
     gone, other = Input(clock, 1.0, taken), Input(clock, QUANTUM_SECONDS, taken)
-    scheduler.submit(gone)
-    scheduler.submit(other)
+    scheduler.submit(gone, False)
+    scheduler.submit(other, False)
     scheduler.cancel(gone)
     clock.run_turn()
     assert not taken[gone] and taken[other] and not len(scheduler)
