Accepting: connections that their clients have closed while they waited are dropped unread

What callers saw: beside one client that opens connections at full speed, usual requests on new connections wait for seconds: at 0.7 of a core 164 of 350 had no answer in time, p50 1.4 s.

Cause: the accept queue (1,024 places) is served in order; a connection with a line that is no HTTP costs some 0.4 ms from its accept to its close, though nobody waits for it any more.

Change: after four accepts in a turn, a connection whose peer has closed (its state in TCP_INFO) is closed with no read. The first four are served as before.

--- a/tansycrank/listening.py
+++ b/tansycrank/listening.py
@@ -18,6 +18,10 @@
 from twisted.internet import main, tcp
 
 ACCEPT_RETRY_SECONDS = 0.02
+USUAL_ACCEPTS_PER_TURN = 4  # above that the accept queue counts as long
+MAX_CLOSED_PER_TURN = (
+    256  # connections dropped in one reactor turn, as their client has closed them
+)
 MAX_READ_BYTES = 8192  # of one connection in a reactor turn
 ACCEPT_QUEUE_EMPTY = (errno.EAGAIN, errno.EWOULDBLOCK)
 TCP_INFO_BYTES = 104
@@ -41,17 +45,42 @@
     return LAST_DATA_RECEIVED.unpack_from(info)[0] / 1000 if info else 0.0
 
 
+def is_closed_by_peer(connection: socket.socket) -> bool:
+    """Whether the peer has closed its side; False if the kernel does not report it."""
+    info = _tcp_info(connection)
+    return bool(info) and info[0] in PEER_CLOSED_STATES
+
+
 class ListeningSocket(socket.socket):
     """A listening socket that records whether its last `accept` failed."""
 
     accept_failed = False  # whether the last `accept` failed although a connection may be waiting
     times_emptied = 0  # how many `accept` calls found the accept queue empty
+    closed_unread = 0  # how many connections had been closed by their client while they waited
+    _accepted_in_turn = _closed_in_turn = 0
+
+    def start_turn(self) -> None:
+        """Begin a series of `accept` calls, which are made without a pause."""
+        self._accepted_in_turn = self._closed_in_turn = 0
 
     def accept(self) -> tuple[socket.socket, object]:
         """Accept a connection; raise OSError, with ENFILE instead of EMFILE.
 
-        Twisted closes all waiting connections on EMFILE, but not on ENFILE.
+        Twisted closes all waiting connections on EMFILE, but not on ENFILE. While many connections
+        wait, those that their client has closed are dropped: they would delay the others.
         """
+        while True:
+            connection, address = self._accept_next()
+            self._accepted_in_turn += 1
+            is_queue_long = self._accepted_in_turn > USUAL_ACCEPTS_PER_TURN
+            may_drop = is_queue_long and self._closed_in_turn < MAX_CLOSED_PER_TURN
+            if not may_drop or not is_closed_by_peer(connection):
+                return connection, address
+            self._closed_in_turn += 1
+            self.closed_unread += 1
+            connection.close()
+
+    def _accept_next(self) -> tuple[socket.socket, object]:
         self.accept_failed = False
         try:
             return super().accept()
@@ -83,8 +112,7 @@
     @property
     def has_peer_closed(self) -> bool:
         """Whether the peer has closed its side, even if bytes from before lie unread."""
-        info = _tcp_info(self.socket)
-        return bool(info) and info[0] in PEER_CLOSED_STATES
+        return is_closed_by_peer(self.socket)
 
     def doRead(self) -> Exception | None:
         """Read what has arrived, up to `MAX_READ_BYTES`; return why the connection has ended."""
@@ -144,6 +172,7 @@
 
     def doRead(self) -> None:
         """Accept the waiting connections; pause if an `accept` fails."""
+        self.socket.start_turn()
         super().doRead()
         if self.connected and self.accept_failed:
             self.record_waiting(self.reactor.seconds())
