Places: connections that linger, bring nothing or come slowly make room before kept ones

Cause: a rejected connection holds its place for the 0.25 s of its linger and is never evicted; a first request that comes slowly holds it for 2 s; the half second in which a silent new connection is protected begins at its accept, though it may have waited long before; and all connections with an expired time-out are closed in one turn.

Change: connection_eviction.py holds the order: lingering ones whose answer has left, silent new ones (counted from their handshake, as TCP_INFO tells), first requests that are incomplete after a second (503), then those idle after a query. Expired connections are closed for 2 ms a turn.

--- a/tansycrank/http_router/client_connection.py
+++ b/tansycrank/http_router/client_connection.py
@@ -86,6 +86,16 @@
         """Whether it has no unanswered and no partly read request."""
         return not self.pending and self._input.is_empty
 
+    @property
+    def is_mid_request(self) -> bool:
+        """Whether a request has started and is incomplete."""
+        return self.state is ConnectionState.OPEN and self._input.is_mid_request
+
+    @property
+    def is_flushed(self) -> bool:
+        """Whether the kernel has accepted all that was written."""
+        return not self.transport.unsent_bytes
+
     @property
     def is_closable(self) -> bool:
         """Whether it is idle and no further request lies unread in the kernel."""
@@ -119,6 +129,8 @@
 
     def connectionMade(self) -> None:
         """Register as a producer, to be paused when the client stops reading."""
+        if self._queued_since is not None and not self.transport.unread_bytes:
+            self.waiting_since -= self._seconds_in_queue()  # it has sent nothing meanwhile
         self.server.on_connected(self)
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
@@ -143,11 +155,15 @@
         now = self.server.now
         unread = self.server.unread_seconds()
         if self._queued_since is not None:  # the first request may have waited in the accept queue
-            queued = min(seconds_since_data(self.transport.getHandle()), now - self._queued_since)
+            unread = max(unread, self._seconds_in_queue())
             self._queued_since = None
-            unread = max(unread, queued)
         return now - unread
 
+    def _seconds_in_queue(self) -> float:
+        """How long its last bytes, or else the connection itself, waited for `accept` at most."""
+        queued = self.server.now - self._queued_since
+        return min(seconds_since_data(self.transport.getHandle()), queued)
+
     def _discard(self, data: bytes) -> None:
         self._discarded_bytes += len(data)
         if self._discarded_bytes > MAX_DISCARDED:
@@ -268,6 +284,7 @@
     def _linger(self) -> None:
         """Close the write side only: a reset by further input could discard the error response."""
         self._begin_close(ConnectionState.LINGERING, "unreadable")
+        self.server.on_lingering(self)
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
         self._linger_timer = self.server.reactor.callLater(LINGER_TIME, self._end_linger)
@@ -287,6 +304,18 @@
             self.transport.unregisterProducer()
             self.transport.loseConnection()
 
+    def make_room(self) -> None:
+        """Close an idle connection, or one that only discards input, in favour of a new one."""
+        if self.state is ConnectionState.LINGERING:
+            self.transport.abortConnection()
+        else:
+            self.close("to make room")
+
+    def reject_slow_request(self) -> None:
+        """Reject a request that is still incomplete while the server is full."""
+        message = "the router is full, and the request comes slowly"
+        self._reject_and_close(RequestRejectedError(503, message))
+
     def _abort(self, reason: str) -> None:
         """Close immediately; written data that was not sent is lost."""
         if not self.is_closing:
--- a/tansycrank/http_router/http_server.py
+++ b/tansycrank/http_router/http_server.py
@@ -10,19 +10,16 @@
 from tansycrank.byte_budget import ByteBudget
 from tansycrank.http_router.body_reservations import BodyReservations
 from tansycrank.http_router.client_connection import ClientConnection
+from tansycrank.http_router.connection_eviction import FIRST_REQUEST_GRACE, ConnectionEviction
 from tansycrank.http_router.coordinator import Coordinator
 from tansycrank.http_router.delayed_admission import DelayedAdmission
 from tansycrank.http_router.disconnect_monitor import DisconnectMonitor
 from tansycrank.http_router.input_scheduler import InputScheduler
 from tansycrank.http_router.settings import Settings
 
-# s a new connection is protected from eviction: its first request may be in transit
-FIRST_REQUEST_GRACE = 0.5
-# s a connection is protected from eviction after an answer, which may still be in transit, and
-# another request may follow it
-MIN_IDLE_AFTER_ANSWER = 0.1
 # s of a process stall from which new connections are assumed to have waited in the accept queue
 MIN_STALL = 0.05
+MAX_EXPIRY_SECONDS = 0.002  # for closing expired connections in one reactor turn
 ACCEPT_RETRY_INTERVAL = 0.02  # s between checks of a full server whether it can accept again
 
 
@@ -49,8 +46,8 @@
         self.log = log
         self.unread_seconds = unread_seconds
         self.connections: dict[ClientConnection, None] = {}  # in order of accept
-        # connections that are idle after a query, longest idle first
-        self.idle_after_query: dict[ClientConnection, None] = {}
+        self.eviction = ConnectionEviction(self.connections)
+        self._expiring: list[ClientConnection] = []  # to be checked by `close_expired`
         self.held_bytes = ByteBudget(settings.max_client_bytes)
         self.delayed_admission = DelayedAdmission(reactor)
         self.input_scheduler = InputScheduler(reactor)
@@ -98,7 +95,11 @@
 
     def on_request_started(self, connection: ClientConnection) -> None:
         """Mark it as in use."""
-        self.idle_after_query.pop(connection, None)
+        self.eviction.idle_after_query.pop(connection, None)
+
+    def on_lingering(self, connection: ClientConnection) -> None:
+        """Mark it as one that only discards input."""
+        self.eviction.lingering[connection] = None
 
     def on_query_answered(self, connection: ClientConnection) -> None:
         """Mark it as idle after a query; above the limit, close the longest idle connection.
@@ -106,11 +107,12 @@
         Without the limit, clients that send one query and keep their connections open would shut
         out all others.
         """
-        self.idle_after_query[connection] = None
-        if len(self.idle_after_query) > self.settings.max_idle_client_connections:
-            longest_idle = next((one for one in self.idle_after_query if one.is_closable), None)
+        idle = self.eviction.idle_after_query
+        idle[connection] = None
+        if len(idle) > self.settings.max_idle_client_connections:
+            longest_idle = self.eviction.choose_longest_idle()
             if longest_idle is not None:
-                del self.idle_after_query[longest_idle]
+                del idle[longest_idle]
                 longest_idle.close("unused longest")
 
     def on_request_rejected(self, problem: str) -> None:
@@ -129,7 +131,7 @@
     def on_closed(self, connection: ClientConnection) -> None:
         """Remove a connection that has closed."""
         self.connections.pop(connection, None)
-        self.idle_after_query.pop(connection, None)
+        self.eviction.forget(connection)
         self.delayed_admission.cancel(connection)
         self.held_bytes.remove(connection)
 
@@ -142,31 +144,17 @@
         )
 
     def _evict_one(self) -> bool:
-        """Close one idle connection: the oldest without any request, else the longest idle.
-
-        Connections that were just accepted or answered are not evicted: their request or answer
-        may be in transit. Nor are those with a request that was not read yet, or with answers that
-        the client does not read: they would hold their descriptors, unknown to the server, as long
-        as it does not.
-        """
-        now = self.now
-        candidates = [one for one in self.connections if self._may_be_evicted(one, now)]
-        candidates.sort(key=lambda one: (one.has_completed_request, one.waiting_since))
-        victim = next((one for one in candidates if one.is_closable), None)
+        """Evict one connection; return whether its place is free now."""
+        victim = self.eviction.choose(self.now)
         if victim is None:
             return False
         self.counts["evicted"] += 1
-        del self.connections[victim]
-        victim.close("to make room")
-        return True
-
-    @staticmethod
-    def _may_be_evicted(connection: ClientConnection, now: float) -> bool:
-        if not connection.is_idle or connection.transport.unsent_bytes:
+        if victim.is_mid_request:
+            victim.reject_slow_request()  # its place is free once its client has the error
             return False
-        was_used = connection.has_completed_request
-        limit = MIN_IDLE_AFTER_ANSWER if was_used else FIRST_REQUEST_GRACE
-        return now - connection.waiting_since >= limit
+        self.connections.pop(victim, None)
+        victim.make_room()
+        return True
 
     def _pause_accepting(self) -> None:
         """Stop accepting for now; new connections wait in the kernel's accept queue."""
@@ -200,10 +188,20 @@
     # --- maintenance and shutdown -----------------------------------------------------
 
     def close_expired(self) -> None:
-        """Close the connections with an expired time-out."""
-        now = self.now
-        for connection in list(self.connections):
-            connection.close_if_expired(now)
+        """Close the connections with an expired time-out, a limited time in each reactor turn."""
+        if not self._expiring:
+            self._expiring = list(self.connections)
+            self._close_some_expired()
+
+    def _close_some_expired(self) -> None:
+        started = self.now
+        while self._expiring:
+            connection = self._expiring.pop()
+            if connection in self.connections:
+                connection.close_if_expired(started)
+            if self.now - started >= MAX_EXPIRY_SECONDS:
+                self.reactor.callLater(0, self._close_some_expired)
+                return
 
     def accept_queued(self) -> bool:
         """Accept queued connections up to the limit; returns whether the queue is now empty.
--- a/tansycrank/http_router/interfaces.py
+++ b/tansycrank/http_router/interfaces.py
@@ -46,6 +46,9 @@
     def on_request_started(self, connection: AdmissibleConnection) -> None:
         """Mark the connection as in use."""
 
+    def on_lingering(self, connection: AdmissibleConnection) -> None:
+        """Mark the connection as one that only discards input until its client closes it."""
+
     def on_query_answered(self, connection: AdmissibleConnection) -> None:
         """Mark the connection as idle: all its queries are answered and it stays open."""
 
--- a/tests/http_router/test_kept_connections.py
+++ b/tests/http_router/test_kept_connections.py
@@ -10,7 +10,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.internet.testing import MemoryReactorClock
 
-from tansycrank.http_router import client_connection, http_server
+from tansycrank.http_router import client_connection, connection_eviction
 from tansycrank.listening import ClientTransport
 
 FEW_DESCRIPTORS = {"cores": 1.0, "memory_mb": 64, "sockets": 96}
@@ -44,7 +44,7 @@
     """Guards against requests that are lost since their connection makes room for new ones."""
     program = start(Node(), limits=FEW_DESCRIPTORS)
     kept = kept_connections(program, PLACES - 4)
-    time.sleep(2 * http_server.MIN_IDLE_AFTER_ANSWER)
+    time.sleep(2 * connection_eviction.MIN_IDLE_AFTER_ANSWER)
     program.suspend()
     with contextlib.ExitStack() as others:
         for _ in range(PLACES):
@@ -65,7 +65,7 @@
 
 
 def close_to_make_room(harness):
-    harness.run(2 * http_server.MIN_IDLE_AFTER_ANSWER)
+    harness.run(2 * connection_eviction.MIN_IDLE_AFTER_ANSWER)
     for _ in range(harness.daemon.settings.max_client_connections):
         harness.client()
 
