Places: a silent new connection is protected for 0.2 s, from its handshake, while the router is full

Cause: the first connections of a crowd fill all places and are protected for half a second; what comes behind them waits.

Change: while the router is full the protection is 0.2 s; at a drain it stays half a second.

--- a/tansycrank/http_router/connection_eviction.py
+++ b/tansycrank/http_router/connection_eviction.py
@@ -5,8 +5,10 @@
 from collections.abc import Iterable, Iterator
 from typing import Protocol
 
-# s a new connection is protected from eviction: its first request may be in transit
+# s a new connection is protected from being closed: its first request may be in transit
 FIRST_REQUEST_GRACE = 0.5
+# s, from its handshake, a new connection is protected while others wait for its place
+FIRST_REQUEST_GRACE_WHEN_FULL = 0.2
 # s a connection is protected from eviction after an answer, which may still be in transit, and
 # another request may follow it
 MIN_IDLE_AFTER_ANSWER = 0.1
@@ -64,7 +66,7 @@
         slow = []
         for one in self._connections:
             waited = now - one.waiting_since
-            if one.has_completed_request or waited < FIRST_REQUEST_GRACE:
+            if one.has_completed_request or waited < FIRST_REQUEST_GRACE_WHEN_FULL:
                 continue
             if one.is_closable and one.is_flushed:
                 yield one
