Memory: the last line looks at the process's own memory and sheds the largest and the large first

Cause of the cost behind it: above the bound of all clients, each read looked at every connection: the square of their number.

The bound of all reads the sizes of all holders once per as many updates.

--- a/tansycrank/byte_budget.py
+++ b/tansycrank/byte_budget.py
@@ -29,16 +29,19 @@
         self.releases = 0  # how many holders had to give up what they held
         self._sizes: dict[ByteHolder, int] = {}
         self._is_enforcing = False
+        self._updates = 0  # since the sizes of all holders were read last
+
+    def set_limit(self, limit_bytes: float) -> None:
+        """Change the limit; release the largest holders if the sum is above it."""
+        self.limit_bytes = limit_bytes
+        self._updates = len(self._sizes)
+        self._release_excess()
 
     def update(self, holder: ByteHolder) -> None:
         """Record what a holder holds now; release the largest holders if the sum is too large."""
+        self._updates += 1
         self._record(holder, holder.held_bytes)
-        if self.held_bytes > self.limit_bytes and not self._is_enforcing:
-            self._is_enforcing = True
-            try:
-                self._enforce()
-            finally:
-                self._is_enforcing = False
+        self._release_excess()
 
     def remove(self, holder: ByteHolder) -> None:
         """Forget a holder that has closed."""
@@ -49,11 +52,25 @@
         if size:
             self._sizes[holder] = size
 
+    def _release_excess(self) -> None:
+        if self.held_bytes > self.limit_bytes and not self._is_enforcing:
+            self._is_enforcing = True
+            try:
+                self._enforce()
+            finally:
+                self._is_enforcing = False
+
     def _enforce(self) -> None:
-        for holder in list(self._sizes):
-            self._record(holder, holder.held_bytes)
+        # Reading all sizes at each update would cost the square of the number of holders.
+        if self._updates >= len(self._sizes):
+            self._updates = 0
+            for holder in list(self._sizes):
+                self._record(holder, holder.held_bytes)
         while self.held_bytes > self.limit_bytes:
             largest = max(self._sizes, key=self._sizes.__getitem__)
+            self._record(largest, largest.held_bytes)
+            if self.held_bytes <= self.limit_bytes:
+                return
             self.remove(largest)
             self.releases += 1
             largest.release_bytes()
--- a/tansycrank/http_router/body_reservations.py
+++ b/tansycrank/http_router/body_reservations.py
@@ -22,6 +22,7 @@
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = limit_bytes
         self.reserved_bytes = 0
+        self.may_wait = True  # otherwise a body above the limit is to be rejected at once
         self._sizes: dict[ReservationHolder, int] = {}
         self._waiting: dict[ReservationHolder, int] = {}
 
--- a/tansycrank/http_router/client_connection.py
+++ b/tansycrank/http_router/client_connection.py
@@ -10,7 +10,7 @@
 from zope.interface import implementer
 
 from tansycrank.http_router import request_codec as codec
-from tansycrank.http_router.client_input import ClientInput
+from tansycrank.http_router.client_input import NO_MEMORY_MESSAGE, ClientInput
 from tansycrank.http_router.interfaces import ConnectionServer
 from tansycrank.http_router.pending_answer import PendingAnswer
 from tansycrank.http_router.pending_requests import (
@@ -344,9 +344,7 @@
             if now - self._discarding_since >= REQUEST_TIMEOUT:  # the error waits behind answers
                 self.reject_pending()
         elif self._input.waits_for_memory and waited >= MEMORY_TIMEOUT:
-            self._reject_and_close(
-                RequestRejectedError(503, "there is no memory for a large request now")
-            )
+            self._reject_and_close(RequestRejectedError(503, NO_MEMORY_MESSAGE))
         elif self._input.is_mid_request and waited >= REQUEST_TIMEOUT:
             self._reject_and_close(
                 RequestRejectedError(408, f"a request has to come within {REQUEST_TIMEOUT} s")
--- a/tansycrank/http_router/client_input.py
+++ b/tansycrank/http_router/client_input.py
@@ -14,6 +14,7 @@
 SLICE_BYTES = 512
 # A read of at most this size is parsed at once: a usual request does not wait behind large ones.
 MAX_IMMEDIATE_BYTES = 2048
+NO_MEMORY_MESSAGE = "there is no memory for a large request now"
 
 
 class InputOwner(RequestHandler, MonitoredConnection, Protocol):
@@ -150,8 +151,11 @@
         if size <= SMALL_BODY:
             self._reservations.release(self)
         elif not self._reservations.reserve(self, size):
-            self.waits_for_memory = True
-            self._pause_reading()
+            if self._reservations.may_wait:
+                self.waits_for_memory = True
+                self._pause_reading()
+            else:
+                self._owner.on_malformed(RequestRejectedError(503, NO_MEMORY_MESSAGE))
 
     def on_reserved(self) -> None:
         """Read the body: its memory is reserved."""
--- a/tansycrank/http_router/connection_pool.py
+++ b/tansycrank/http_router/connection_pool.py
@@ -60,6 +60,11 @@
         self.connections_opened = 0
         self._unflushed: list[EndpointConnections] = []
 
+    @property
+    def held_bytes(self) -> ByteBudget:
+        """The bytes that all connections hold."""
+        return self._limits.held_bytes
+
     @property
     def connection_count(self) -> int:
         """Number of open and pending connections."""
--- a/tansycrank/http_router/daemon.py
+++ b/tansycrank/http_router/daemon.py
@@ -23,10 +23,12 @@
 from tansycrank.http_router.endpoint_directory import EndpointDirectory
 from tansycrank.http_router.graceful_shutdown import GracefulShutdown
 from tansycrank.http_router.http_server import HttpServer
+from tansycrank.http_router.load_shedding import LoadShedder
 from tansycrank.http_router.maintenance import Maintenance
 from tansycrank.http_router.recent_requests import RecentRequests
 from tansycrank.http_router.settings import ConfigError, EndpointListDocument, Settings
 from tansycrank.http_router.version_reset import VersionResetDetector
+from tansycrank.memory_monitor import MemoryMonitor
 from tansycrank.pending_notifications import PendingNotifications
 from tansycrank.stall_metrics import StallMetrics
 
@@ -103,7 +105,11 @@
         self.shutdown = GracefulShutdown(
             reactor, settings, self.server, self.coordinator, self._on_drained
         )
-        self.maintenance = Maintenance(reactor, self.pool, self.server, self._report_state, log)
+        self.memory = MemoryMonitor(int(settings.memory_mb * configuration.BYTES_PER_MB))
+        shedder = LoadShedder(reactor, settings, self.memory, self.server, self.pool, log)
+        self.maintenance = Maintenance(
+            reactor, self.pool, self.server, self._report_state, shedder.check, log
+        )
         self.discovery_failures = 0
         self._is_confirming_empty_list = False  # an empty list is being confirmed by a poll
         self._may_become_ready = False  # a list was received, or waiting timed out
@@ -128,6 +134,7 @@
             READY_TIMEOUT if self.settings.module.polls_discovery else PUSHED_LIST_TIMEOUT,
             self._become_ready,
         )
+        self.memory.start()
         self.maintenance.start()
         log(
             "process_started",
--- a/tansycrank/http_router/maintenance.py
+++ b/tansycrank/http_router/maintenance.py
@@ -27,6 +27,7 @@
         pool: ConnectionPool,
         server: HttpServer,
         report_state: Callable[[], None],
+        check_memory: Callable[[], None],
         log: Callable[..., None],
     ) -> None:
         self._reactor = reactor
@@ -36,6 +37,7 @@
         self._last_run = 0.0  # s
         self._has_skipped = False  # the last run was skipped because the process had stalled
         self._wall_clock = clock.WallClockMonitor()
+        self._check_memory = check_memory
         self._calls = {
             LoopingCall(self._run): MAINTENANCE_INTERVAL,
             LoopingCall(report_state): STATE_REPORT_INTERVAL,
@@ -50,9 +52,12 @@
         for call, interval in self._calls.items():
             call.start(interval, now=False)
 
-    @staticmethod
-    def _heartbeat() -> None:
-        """Do nothing: a timer that is always due soon lets the reactor detect its own stalls."""
+    def _heartbeat(self) -> None:
+        """Check the memory. A timer that is due soon also lets the reactor detect its stalls."""
+        try:
+            self._check_memory()
+        except Exception as error:  # an exception would stop the LoopingCall
+            self._log("maintenance_failed", error=repr(error), traceback=True)
 
     def _run(self) -> None:
         now = self._reactor.seconds()
