--- a/tansycrank/http_router/client_connection.py
+++ b/tansycrank/http_router/client_connection.py
@@ -64,17 +64,13 @@
         self._requests = PendingRequests(server, self.on_requests_changed)
         self.waiting_since = server.now  # s: start of the current wait, for time-outs
         self.has_completed_request = False
+        self.request_count = 0
+        self.accepted_at = server.now  # s
         self.unread_since: float | None = None  # s: since when the client does not read
         self._linger_timer = None
         self._discarded_bytes = 0
         self._discarding_since = 0.0  # s: when the stream was found malformed
-        self._input = ClientInput(
-            self,
-            server.reactor,
-            server.input_scheduler,
-            server.disconnect_monitor,
-            server.body_reservations,
-        )
+        self._input = ClientInput(self, server)
 
     @property
     def pending(self) -> deque[PendingAnswer]:
@@ -125,6 +121,11 @@
         else:
             self._abort("too many bytes held")
 
+    @property
+    def parse_seconds(self) -> float:
+        """Time spent on parsing its input and answering what could not be admitted."""
+        return self._input.parse_seconds
+
     # --- input ------------------------------------------------------------------------
 
     def connectionMade(self) -> None:
@@ -206,6 +207,7 @@
     def on_request(self, request: ParsedRequest) -> None:
         """Answer a status request immediately, or schedule the admission of a query."""
         self.has_completed_request = True
+        self.request_count += 1
         if self._requests.add(request, self._input.arrived_at):
             self.server.schedule_admission(self)
         self.flush()
@@ -262,7 +264,7 @@
             self.waiting_since = self.server.now
             self.transport.write(codec.encode_response(answer.response, closes))
             if closes and self.state is ConnectionState.DISCARDING:
-                self._linger()
+                self._linger(answer.response.status)
             elif closes:
                 self.close("leaving" if answer.keeps_alive else "asked for")
             elif is_last and answer.is_query:
@@ -279,11 +281,11 @@
             self.pending.append(PendingAnswer(keeps_alive=False, response=response))
             return
         self.transport.write(codec.encode_response(response, closes=True))
-        self._linger()
+        self._linger(response.status)
 
-    def _linger(self) -> None:
+    def _linger(self, status: int) -> None:
         """Close the write side only: a reset by further input could discard the error response."""
-        self._begin_close(ConnectionState.LINGERING, "unreadable")
+        self._begin_close(ConnectionState.LINGERING, f"rejected with {status}")
         self.server.on_lingering(self)
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
@@ -324,8 +326,8 @@
 
     def _begin_close(self, state: ConnectionState, reason: str) -> None:
         """Start to close; the lifecycle checks that no query of the connection is unanswered."""
+        self.server.on_closing(self, reason)
         self.state = state
-        self.server.on_closing(reason)
         coordinator = self.server.coordinator
         queries = self._requests.open_queries
         coordinator.lifecycle.close_connection(queries, reason, coordinator.loop.now)
--- a/tansycrank/http_router/client_input.py
+++ b/tansycrank/http_router/client_input.py
@@ -4,9 +4,8 @@
 
 from typing import Protocol
 
-from tansycrank.http_router.body_reservations import BodyReservations
-from tansycrank.http_router.disconnect_monitor import DisconnectMonitor, MonitoredConnection
-from tansycrank.http_router.input_scheduler import InputScheduler
+from tansycrank.http_router.disconnect_monitor import MonitoredConnection
+from tansycrank.http_router.interfaces import ConnectionServer
 from tansycrank.http_router.request_codec import RequestRejectedError
 from tansycrank.http_router.request_parser import SMALL_BODY, RequestHandler, RequestParser
 
@@ -41,16 +40,10 @@
     the bytes being parsed may have become readable.
     """
 
-    def __init__(
-        self,
-        owner: InputOwner,
-        reactor,
-        scheduler: InputScheduler,
-        monitor: DisconnectMonitor,
-        reservations: BodyReservations,
-    ) -> None:
-        self._owner, self._reactor = owner, reactor
-        self._scheduler, self._monitor, self._reservations = scheduler, monitor, reservations
+    def __init__(self, owner: InputOwner, server: ConnectionServer) -> None:
+        self._owner, self._reactor = owner, server.reactor
+        self._scheduler, self._monitor = server.input_scheduler, server.disconnect_monitor
+        self._reservations = server.body_reservations
         self._parser = RequestParser(owner)
         self._unparsed = bytearray()
         self.arrived_at = 0.0
--- a/tansycrank/http_router/http_server.py
+++ b/tansycrank/http_router/http_server.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from collections import Counter
+import heapq
 from collections.abc import Callable
+from dataclasses import asdict
 
 from twisted.internet.protocol import Factory
 
 from tansycrank.byte_budget import ByteBudget
 from tansycrank.http_router.body_reservations import BodyReservations
 from tansycrank.http_router.client_connection import ClientConnection
+from tansycrank.http_router.close_log import CloseLog, describe
 from tansycrank.http_router.connection_eviction import FIRST_REQUEST_GRACE, ConnectionEviction
 from tansycrank.http_router.coordinator import Coordinator
 from tansycrank.http_router.delayed_admission import DelayedAdmission
@@ -19,6 +21,7 @@
 
 # s of a process stall from which new connections are assumed to have waited in the accept queue
 MIN_STALL = 0.05
+TOP_CLIENTS = 3  # connections in the state report
 MAX_EXPIRY_SECONDS = 0.002  # for closing expired connections in one reactor turn
 ACCEPT_RETRY_INTERVAL = 0.02  # s between checks of a full server whether it can accept again
 
@@ -57,7 +60,7 @@
         self.draining = False
         self.is_admitting = True  # otherwise queries are rejected when parsed
         self.counts = {"accepted": 0, "unusable": 0, "unreadable": 0, "evicted": 0, "paused": 0}
-        self.closed: Counter[str] = Counter()  # connections closed by this process, by reason
+        self.close_log = CloseLog(log)  # of connections closed by this process
         self.latest_rejection = ""  # error message of the most recent rejected request
         self.port = None  # the listening port; paused while the server is full
         self._paused_at = 0.0  # s: when accepting was last paused
@@ -124,9 +127,26 @@
         """Count a request that cannot be parsed."""
         self.counts["unreadable"] += 1
 
-    def on_closing(self, reason: str) -> None:
-        """Count a connection that this process closes."""
-        self.closed[reason] += 1
+    def on_closing(self, connection: ClientConnection, reason: str) -> None:
+        """Count and log a connection that this process closes."""
+        self.close_log.record(connection, reason, self.now)
+
+    def report(self) -> dict[str, object]:
+        """Return, for the state report, what is held and which clients cost most."""
+        costly = heapq.nlargest(TOP_CLIENTS, self.connections, key=lambda one: one.parse_seconds)
+        return {
+            "closed": self.close_log.counts,
+            "closed_in_queue": self.port.socket.closed_unread if self.port is not None else 0,
+            "held": {
+                "client_bytes": self.held_bytes.held_bytes,
+                "reserved_bytes": self.body_reservations.reserved_bytes,
+                "bodies_waiting": self.body_reservations.waiting,
+                "inputs_waiting": len(self.input_scheduler),
+                "lingering": len(self.eviction.lingering),
+            },
+            "parse_s": round(self.input_scheduler.total_seconds, 2),
+            "top_clients": [asdict(describe(one, "", self.now)) for one in costly],
+        }
 
     def on_closed(self, connection: ClientConnection) -> None:
         """Remove a connection that has closed."""
--- a/tansycrank/http_router/input_scheduler.py
+++ b/tansycrank/http_router/input_scheduler.py
@@ -36,6 +36,7 @@
             (self._long, self._kept, self._new),
         )
         self._quanta = 0
+        self.total_seconds = 0.0  # taken by all parsing
         self._immediate_seconds = 0.0  # taken by small reads in this reactor turn
         self._turn = None  # the timer of the next turn
 
@@ -50,6 +51,7 @@
     def record_immediate(self, seconds: float) -> None:
         """Count the time that an immediate parse has taken."""
         self._immediate_seconds += seconds
+        self.total_seconds += seconds
         self._start_turn()
 
     def submit(self, input: ScheduledInput, is_kept: bool) -> None:
@@ -85,7 +87,10 @@
         input = next(iter(queue))
         taken = queue.pop(input)
         started = self._reactor.seconds()
-        if input.parse(min(started + QUANTUM_SECONDS, turn_end)):
-            taken += self._reactor.seconds() - started
+        is_left = input.parse(min(started + QUANTUM_SECONDS, turn_end))
+        spent = self._reactor.seconds() - started
+        taken += spent
+        self.total_seconds += spent
+        if is_left:
             target = queue if taken < LONG_INPUT_SECONDS else self._long
             target[input] = taken
--- a/tansycrank/http_router/interfaces.py
+++ b/tansycrank/http_router/interfaces.py
@@ -58,8 +58,8 @@
     def on_request_malformed(self) -> None:
         """Count a request that cannot be parsed."""
 
-    def on_closing(self, reason: str) -> None:
-        """Count a connection that this process closes."""
+    def on_closing(self, connection: AdmissibleConnection, reason: str) -> None:
+        """Count and log a connection that this process closes."""
 
     def on_closed(self, connection: AdmissibleConnection) -> None:
         """Remove a connection that has closed."""
--- a/tests/http_router/live.py
+++ b/tests/http_router/live.py
@@ -236,9 +236,17 @@
     ).encode()
 
 
+class ListeningSocket:
+    """The part of the listening socket that the HTTP server uses."""
+
+    closed_unread = 0
+
+
 class Port:
     """The part of the listening port that the HTTP server uses."""
 
+    socket = ListeningSocket()
+
     reading = True
     accept_failed = False
     waiting_since = None
