SQL sessions: queued messages are handled for 2 ms a turn

Cause: a session handles all queued messages in one go; the reader scheduler counts the time only afterwards.

Change: after 2 ms the rest waits for the session's next turn, in its tenant's order.

--- a/tansycrank/admission/reader_scheduler.py
+++ b/tansycrank/admission/reader_scheduler.py
@@ -43,14 +43,22 @@
         """Read the messages of a session now if this turn has time left, else schedule it."""
         if not self._scheduler and self._used_seconds < SLICE_SECONDS:
             self._used_seconds += self._read_timed(reader)
+            self._schedule_turn()
         else:
-            tenant_queue = self._scheduler.children.get(tenant)
-            if tenant_queue is None:
-                tenant_queue = FifoQueue()
-            if reader.id not in tenant_queue.items:
-                tenant_queue.add(reader)
-                self._scheduler.size += 1
-            self._scheduler.schedule(tenant, tenant_queue)
+            self.schedule(reader, tenant)
+
+    def schedule(self, reader: Reader, tenant: str) -> None:
+        """Read the messages of a session in its tenant's turn, never at once."""
+        tenant_queue = self._scheduler.children.get(tenant)
+        if tenant_queue is None:
+            tenant_queue = FifoQueue()
+        if reader.id not in tenant_queue.items:
+            tenant_queue.add(reader)
+            self._scheduler.size += 1
+        self._scheduler.schedule(tenant, tenant_queue)
+        self._schedule_turn()
+
+    def _schedule_turn(self) -> None:
         if not self._is_turn_scheduled:
             self._is_turn_scheduled = True
             self._call_soon(self._on_turn)
@@ -76,6 +84,5 @@
             took = max(self._read_timed(reader), 1e-6)
             self._used_seconds += took
             self._scheduler.serve(took)
-        if self._scheduler and not self._is_turn_scheduled:
-            self._is_turn_scheduled = True
-            self._call_soon(self._on_turn)
+        if self._scheduler:
+            self._schedule_turn()
--- a/tansycrank/postgres/server/session.py
+++ b/tansycrank/postgres/server/session.py
@@ -33,6 +33,7 @@
 from tansycrank.postgres.server.transaction import TransactionBlock
 
 ENCRYPTION_DECLINED = b"N"
+MAX_PROCESSING_SECONDS = 0.002  # for queued messages of one session in a row
 
 
 class SessionState(Enum):
@@ -263,12 +264,14 @@
         self.process_messages()
 
     def process_messages(self) -> None:
-        """Handle queued messages until one starts an asynchronous operation."""
+        """Handle queued messages until one starts an operation, or the session's turn is over."""
         if self._is_processing:  # an immediate response would recurse for each message
             return
         self._is_processing = True
+        seconds = self.factory.reactor.seconds
+        until, has_time = seconds() + MAX_PROCESSING_SECONDS, True
         try:
-            while self.is_ready and not self._is_busy and self._is_client_reading:
+            while self.is_ready and not self._is_busy and self._is_client_reading and has_time:
                 if self._extended_query.resume_deferred(self._queue):
                     continue
                 if not self._queue:
@@ -276,10 +279,13 @@
                         self.shut_down()
                     break
                 self._handle(self._queue.pop())
+                has_time = seconds() < until
         except PgError as error:
             self._end_with(error)
         finally:
             self._is_processing = False
+        if not has_time and self.is_ready:
+            self.factory.reader_scheduler.schedule(self, self._tenant())
         self._adjust_reading()
         self.factory.held_bytes.update(self)
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -91,6 +91,7 @@
 
     aborted = False
     unsent_bytes = 0  # the client reads all data at once
+    unread_bytes = 0
 
     def setTcpNoDelay(self, on):
         pass
