SQL sessions: an ended session gives back its messages and statements at once

What callers would see: the router over its memory limit while clients come and go with large unfinished messages.

Cause: a session stands in reference cycles with its parts; its unfinished message (up to max_message) and its prepared statements stay until a late collection.

Change: connectionLost releases both.

Result: tests/test_session_crowds.py, the second test failed before.

--- a/tansycrank/postgres/server/session.py
+++ b/tansycrank/postgres/server/session.py
@@ -164,6 +164,9 @@
         self.factory.remove_session(self)
         self.factory.reader_scheduler.remove(self, self._tenant())
         self._queue.clear()
+        # the session is in reference cycles: what it holds must not wait for the collector
+        self._frames, self._startup = None, StartupReader()
+        self._context.statements.clear()
         self._operation.abandon()
         result = self._row_writer.discard()
         if result is not None:
--- a/tests/test_session_crowds.py
+++ b/tests/test_session_crowds.py
@@ -1,7 +1,10 @@
 """Sessions of the SQL router beside crowds: turns of small messages, places, what is released."""
 
+import gc
+
 from harness import SessionHarness
 from test_planner import CONFIG_TEXT
+from test_session import named_parse
 
 from tansycrank.postgres import messages as pg
 from tansycrank.postgres.server.session import MAX_PROCESSING_SECONDS
@@ -42,3 +45,20 @@
         run_turn(harness)
         answered += len(harness.take_messages())
     assert answered == SYNCS
+
+
+def test_a_session_that_has_ended_holds_no_bytes_until_the_garbage_collector_runs():
+    """Guards against messages and statements of ended sessions that stay in reference cycles."""
+    harness = SessionHarness(CONFIG_TEXT)
+    harness.log_in()
+    gc.disable()
+    try:
+        sql = f"SELECT id FROM trips WHERE district = 'a' AND note = '{'x' * 1000}'"
+        harness.send(named_parse("s", sql), pg.SYNC_FRAME)
+        harness.session.dataReceived(b"Q" + pg.INT32.pack(400_000) + b"x" * 300_000)
+        assert harness.session.held_bytes > 300_000
+        session = harness.session
+        session.connectionLost()
+        assert session._frames is None and not session._context.statements.held_bytes
+    finally:
+        gc.enable()
