SQL sessions: silent connections make room for clients that log in

What callers would see: hundreds of connections that say nothing shut out all others for the login time-out.

Change: the oldest connection that has sent nothing is aborted instead; the newest only if there is none.

--- a/tansycrank/postgres/server/factory.py
+++ b/tansycrank/postgres/server/factory.py
@@ -28,7 +28,7 @@
         self, service: Service, limits: ListenSection, reactor, seed: int, log=None
     ) -> None:
         self.service, self.limits, self.reactor, self.log = service, limits, reactor, log
-        self.sessions: set[ClientSession] = set()
+        self.sessions: dict[ClientSession, None] = {}  # in order of accept
         self.stopping = False
         self.accepted = 0  # connections
         self.reader_scheduler = ReaderScheduler(
@@ -45,15 +45,19 @@
         return ClientSession(self)
 
     def add_session(self, session: ClientSession) -> None:
-        """Track an accepted connection; abort it if there are too many."""
+        """Track an accepted connection; above the limit, abort the longest silent one or it."""
         self.accepted += 1
-        self.sessions.add(session)
-        if len(self.sessions) > MAX_CONNECTIONS_PER_SESSION * self.limits.max_sessions:
-            session.transport.abortConnection()
+        if len(self.sessions) >= MAX_CONNECTIONS_PER_SESSION * self.limits.max_sessions:
+            silent = next((one for one in self.sessions if one.is_silent), session)
+            self.sessions.pop(silent, None)
+            silent.transport.abortConnection()
+            if silent is session:
+                return
+        self.sessions[session] = None
 
     def remove_session(self, session: ClientSession) -> None:
         """Remove a session whose connection has ended."""
-        self.sessions.discard(session)
+        self.sessions.pop(session, None)
         self.held_bytes.remove(session)
         self._sessions_by_pid.pop(session.pid, None)
 
--- a/tansycrank/postgres/server/session.py
+++ b/tansycrank/postgres/server/session.py
@@ -100,6 +100,11 @@
         """Whether the session is logged in and not about to end, so that it handles messages."""
         return self.state is SessionState.READY
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether its client has not logged in, and nothing of it lies unread."""
+        return self.state is SessionState.STARTUP and not self.transport.unread_bytes
+
     @property
     def is_logged_in(self) -> bool:
         """Whether the client has logged in and is still connected."""
--- a/tests/test_session_crowds.py
+++ b/tests/test_session_crowds.py
@@ -7,6 +7,7 @@
 from test_session import named_parse
 
 from tansycrank.postgres import messages as pg
+from tansycrank.postgres.server.factory import MAX_CONNECTIONS_PER_SESSION
 from tansycrank.postgres.server.session import MAX_PROCESSING_SECONDS
 
 SYNCS = 200
@@ -47,6 +48,28 @@
     assert answered == SYNCS
 
 
+def test_silent_connections_make_room_for_clients_that_log_in():
+    """Guards against a crowd of silent connections that shuts out all others."""
+    harness = SessionHarness(CONFIG_TEXT, max_sessions=4)
+    crowd = [harness.connect() for _ in range(MAX_CONNECTIONS_PER_SESSION * 4 - 1)]
+    harness.transport.unread_bytes = 1  # its startup packet lies unread
+    session, transport = harness.connect()
+    session.dataReceived(pg.startup({"user": "usual"}))
+    assert not transport.aborted and session.is_logged_in
+    assert [silent.aborted for _, silent in crowd].count(True) == 1
+    assert crowd[0][1].aborted and not harness.transport.aborted
+    assert len(harness.factory.sessions) <= MAX_CONNECTIONS_PER_SESSION * 4
+
+
+def test_a_connection_above_the_limit_is_aborted_if_no_other_is_silent():
+    harness = SessionHarness(CONFIG_TEXT, max_sessions=1)
+    harness.transport.unread_bytes = 1
+    _, other_transport = harness.connect()
+    other_transport.unread_bytes = 1
+    _, transport = harness.connect()
+    assert transport.aborted and not other_transport.aborted and not harness.transport.aborted
+
+
 def test_a_session_that_has_ended_holds_no_bytes_until_the_garbage_collector_runs():
     """Guards against messages and statements of ended sessions that stay in reference cycles."""
     harness = SessionHarness(CONFIG_TEXT)
