--- a/tansycrank/testbed/neighbours/run.py
+++ b/tansycrank/testbed/neighbours/run.py
@@ -5,7 +5,6 @@
 import contextlib
 import json
 import os
-import re
 import signal
 import subprocess
 import sys
@@ -20,6 +19,7 @@
 
 import msgspec
 
+from tansycrank.testbed.memory import anonymous_memory_mb
 from tansycrank.testbed.neighbours.hostile import KINDS, HostileSpec
 from tansycrank.testbed.neighbours.usual import Sample, UsualSpec
 from tansycrank.testbed.ports import ReservedPort
@@ -178,12 +178,6 @@
         self._no_discovery.release()
 
 
-def anonymous_memory_mb(pid: int) -> float:
-    """Anonymous resident memory of a process, which counts against a router's limit."""
-    found = re.search(r"RssAnon:\s+(\d+)", Path(f"/proc/{pid}/status").read_text())
-    return int(found[1]) / 1024
-
-
 @contextlib.contextmanager
 def running(limits: Limits, folder: Path | None = None) -> Iterator[Router]:
     """A ready router; `folder` keeps its log."""
--- a/tansycrank/testbed/soak/fleet.py
+++ b/tansycrank/testbed/soak/fleet.py
@@ -5,19 +5,24 @@
 import json
 import signal
 import subprocess
+import sys
 import threading
 import time
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 
+import msgspec
+
 from tansycrank import clock
+from tansycrank.testbed.neighbours.hostile import HostileSpec
 from tansycrank.testbed.soak import records
 from tansycrank.testbed.soak.clients import ClientsSpec
 from tansycrank.testbed.soak.discovery import DiscoverySpec
 from tansycrank.testbed.soak.node import FELL
 from tansycrank.testbed.soak.oracle import Evidence
 from tansycrank.testbed.soak.parties import (
+    ROOT,
     STARTS_WITHIN,
     ControlLine,
     NodeProcess,
@@ -25,6 +30,7 @@
     start_module,
 )
 from tansycrank.testbed.soak.plan import (
+    HOSTILE_KINDS,
     Fault,
     FaultKind,
     Plan,
@@ -37,6 +43,8 @@
 BETWEEN_SIGNALS = 0.05  # s in a series
 RELOADS = 4  # in a series
 TOLD_AFTER = 0.3  # s until discovery knows that a node died
+MEMORY_INTERVAL = 0.02  # s between readings of the routers' memory
+THROTTLE_PERIOD = 0.1  # s in which a router with a part of a core is stopped once
 SETTLE = 1.0  # s after the last request, for what nodes still have to note
 
 
@@ -123,13 +131,16 @@
 
     def play(self) -> Evidence:
         """Carry out the plan's faults, each in a thread of its own; then all that was recorded."""
-        threads = []
+        over = threading.Event()
+        threads = [threading.Thread(target=self._watch_memory, args=(over,))]
+        threads[0].start()
         for fault in self.plan.faults:
             time.sleep(max(self.began + fault.at - time.monotonic(), 0.0))
             thread = threading.Thread(target=self._carry_out, args=(fault,))
             thread.start()
             threads.append(thread)
         time.sleep(max(self.began + self.plan.seconds - time.monotonic(), 0.0))
+        over.set()
         for thread in threads:
             thread.join()
         for line in self.client_lines:
@@ -144,6 +155,18 @@
             self.problems.append("no request was recorded: nothing was judged")
         return evidence
 
+    def _watch_memory(self, over: threading.Event) -> None:
+        """Note the routers that exceed their memory limit, once each."""
+        exceeding: set[int] = set()
+        while not over.wait(MEMORY_INTERVAL):
+            for router in self.routers:
+                if router.exceeds_memory() and router.number not in exceeding:
+                    exceeding.add(router.number)
+                    limit = self.plan.limits.memory_mb
+                    self.problems.append(
+                        f"router {router.number} took {router.peak_memory:.0f} MB of {limit}"
+                    )
+
     def _find_the_dead(self) -> None:
         """A party that ended by itself: a router's fault, or a witness that is missing."""
         parties = {f"router {router.number}": router.process for router in self.routers}
@@ -389,6 +412,8 @@
                 self.discovery_line.order(reset=True)
             case FaultKind.BURST:
                 self._burst(fault)
+            case FaultKind.HOSTILE:
+                self._play_hostile_clients(fault, self.routers[fault.target])
             case FaultKind.CROWD:
                 self._order_clients(crowd=fault.target, stays=True)
                 time.sleep(fault.duration)
@@ -401,6 +426,24 @@
                 return self._discovery_fault(fault)
         return True
 
+    def _play_hostile_clients(self, fault: Fault, router: RouterProcess) -> None:
+        kind = HOSTILE_KINDS[int(fault.value)]
+        seed = self.plan.seed * 1000 + int(fault.at * 10)
+        spec = msgspec.json.encode(HostileSpec(kind, router.port, fault.duration, seed)).decode()
+        command = [sys.executable, "-m", "tansycrank.testbed.neighbours.hostile", spec]
+        process = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.DEVNULL)
+        stopped = THROTTLE_PERIOD * (1 - self.plan.limits.cores)
+        try:
+            while stopped and process.poll() is None:
+                time.sleep(THROTTLE_PERIOD - stopped)
+                router.signal(signal.SIGSTOP)
+                time.sleep(stopped)
+                router.signal(signal.SIGCONT)
+            process.wait(fault.duration + STARTS_WITHIN)
+        finally:
+            process.kill()
+            process.wait()
+
     def _burst(self, fault: Fault) -> None:
         for line in self.client_lines:
             line.order(burst=True)
--- a/tansycrank/testbed/soak/oracle.py
+++ b/tansycrank/testbed/soak/oracle.py
@@ -24,10 +24,12 @@
 
 LATE = 500.0  # ms after its deadline from which on an answer counts as lost
 AFTER_END = 100.0  # ms after the end of its request in which an attempt may still arrive
+CROSSING = 50.0  # ms in which the close of a connection may cross a request
 READING = 200.0  # ms that a party of a busy machine may take to note what happened
 WAIT_SLACK = 150.0  # ms by which a node may be told a longer wait than the client has left
 TOLD_LATEST = 6_000.0  # ms after which a change counts as told, if discovery could be reached
 HALF_WITHIN = 3_000.0  # ms in which a request that does not go on gets its error or close
+UNSAFE_HOSTILE_KINDS = ("returning_ids-", "full_pipelines-")  # prefixes of their ids
 SAFE, UNSAFE, KEYED = "read_like", "non_idempotent", "idempotency_key"
 
 
@@ -92,6 +94,7 @@
         self.hangs = self._spans(FaultKind.NODE_HANG)
         self.stops = self._spans(FaultKind.ROUTER_STOP)
         self.crashes = self._spans(FaultKind.ROUTER_CRASH)
+        self.crowds = self._spans(FaultKind.CROWD)
 
     def judge(self) -> Verdict:
         """All invariants."""
@@ -106,6 +109,7 @@
         self._slow_start()
         self._budget()
         self._halves()
+        self._hostile_effects()
         return self.verdict
 
     # --- helpers ----------------------------------------------------------------------
@@ -174,6 +178,9 @@
                     f"{record.request}: read and forwarded, its connection closed without an answer"
                 )
                 self._violate(Invariant.ANSWERED, text, record.request)
+            elif self._was_closed_unread(record):
+                text = f"{record.request}: its connection ended unread long after it was sent"
+                self._violate(Invariant.ANSWERED, text, record.request)
         elif record.ending is Ending.NO_ANSWER:
             text = (
                 f"{record.request}: no answer within {record.ended - record.sent:.0f} ms: "
@@ -184,6 +191,18 @@
             text = f"{record.request}: answered after {record.ended - record.sent:.0f} ms"
             self._violate(Invariant.ANSWERED, f"{text} of {record.deadline:.0f}", record.request)
 
+    def _was_closed_unread(self, record: ClientRecord) -> bool:
+        """Whether a kept connection ended so late that its close had not crossed the request.
+
+        While a crowd fills the descriptors, connections may be shut unread.
+        """
+        waited = record.ended - record.sent - self._stopped_for(record)
+        is_crowded = any(
+            crowd.at <= record.ended and record.sent <= crowd.until
+            for crowd in self.crowds[str(record.router)]
+        )
+        return waited > CROSSING + READING and not is_crowded
+
     def _nothing_after_end(self, record: ClientRecord) -> None:
         if record.ending is Ending.CROSSED:
             return
@@ -256,6 +275,16 @@
                     Invariant.DEADLINE_PASSED_ON, f"{text}, {left:.0f} were left", record.request
                 )
 
+    def _hostile_effects(self) -> None:
+        """No id of hostile clients that are not idempotent ran twice, though it came again."""
+        for request in [one for one in self.events if one.startswith(UNSAFE_HOSTILE_KINDS)]:
+            self.verdict.exercised[Invariant.NO_DOUBLE_EFFECT] += 1
+            for shard, calls in self._ran(request).items():
+                if len(calls) > 1:
+                    nodes = [call.node for call in calls]
+                    text = f"{request}: shard {shard} reached nodes {nodes}, its id came again"
+                    self._violate(Invariant.NO_DOUBLE_EFFECT, text, request)
+
     # --- draining ---------------------------------------------------------------------
 
     def _draining(self) -> None:
--- a/tansycrank/testbed/soak/parties.py
+++ b/tansycrank/testbed/soak/parties.py
@@ -11,6 +11,7 @@
 import sys
 import threading
 import time
+from dataclasses import asdict
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
 
 from tansycrank import clock
 from tansycrank.testbed.interposer import FailingCalls, WallClock, environment
+from tansycrank.testbed.memory import anonymous_memory_mb
 from tansycrank.testbed.ports import ReservedPort
 from tansycrank.testbed.soak.node import NodeSpec
 from tansycrank.testbed.soak.plan import SHARDS, ZONES
@@ -95,6 +97,7 @@
         self.discovery_at = 0  # which of its two ports of discovery it is configured for
         self.process: subprocess.Popen | None = None
         self.busy = threading.Lock()  # one fault at a time that ends its process
+        self.peak_memory = 0.0  # MB
 
     def write_config(self) -> None:
         """Its configuration file, with the list that discovery holds now."""
@@ -109,7 +112,7 @@
                     "listen": f"127.0.0.1:{self.port}",
                     "discovery": f"127.0.0.1:{ports[self.discovery_at]}",
                     "seed": f"{fleet.plan.seed + 1:016x}",
-                    "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256},
+                    "limits": asdict(fleet.plan.limits),
                     "known": known,
                     "settings": settings,
                 }
@@ -155,6 +158,15 @@
         lines = self.log.read_bytes().splitlines()
         return bool(lines) and b"shutdown_completed" in lines[-1]
 
+    def exceeds_memory(self) -> bool:
+        """Whether its process takes more memory than its limit now; record the most it took."""
+        try:
+            used = anonymous_memory_mb(self.process.pid)
+        except (OSError, TypeError, AttributeError):  # it has ended
+            return False
+        self.peak_memory = max(self.peak_memory, used)
+        return used > self.fleet.plan.limits.memory_mb
+
     def signal(self, number: int) -> None:
         """Signal its process, if there is one."""
         if self.process is not None and self.process.poll() is None:
--- a/tansycrank/testbed/soak/plan.py
+++ b/tansycrank/testbed/soak/plan.py
@@ -7,6 +7,9 @@
 from enum import Enum
 
 from tansycrank.testbed.interposer import CallFailure
+from tansycrank.testbed.neighbours.hostile import KINDS
+
+HOSTILE_KINDS = tuple(KINDS)  # a fault's value is an index of these
 
 SHARDS = 6  # as many as the fewest data nodes, so that each shard has its three replicas
 ZONES = ("a", "b", "c")
@@ -41,6 +44,7 @@
     ROUTER_STOP = "router stopped for long (SIGSTOP)"
     ROUTER_SIGNALS = "signals in series"
     CROWD = "idle clients fill the descriptors of a router"
+    HOSTILE = "hostile clients of one kind beside the usual ones"
 
 
 class SignalSeries(Enum):
@@ -91,9 +95,15 @@
     FaultKind.ROUTER_STOP: (0.2, 1.5),
     FaultKind.ROUTER_SIGNALS: (0.0, 0.3),
     FaultKind.CROWD: (1.0, 3.0),
+    FaultKind.HOSTILE: (1.5, 4.0),
 }
 # Drawn by a generator of their own, beside the others: how often in `seconds` of a run.
 FURTHER_KINDS = {FaultKind.ROUTER_STOP: 0.25, FaultKind.ROUTER_SIGNALS: 0.12, FaultKind.CROWD: 0.04}
+HOSTILE_RATE = 0.25  # a second, at routers with many descriptors
+MEMORY_LIMITS = (64, 128)  # MB of a router
+DESCRIPTOR_LIMITS = (256, 1024)  # of a router
+MANY_DESCRIPTORS = 1024
+CORE_SHARES = (1.0, 0.7)  # of a router that is beside hostile clients
 CALL_FAILURE_SHARES = (0.01, 0.5)  # of the calls of a kind, while it fails
 MOST_CALL_KINDS = 4  # that fail at once
 
@@ -112,6 +122,15 @@
     calls: tuple[CallFailure, ...] = ()  # which kinds of calls fail
 
 
+@dataclass(frozen=True, slots=True)
+class RouterLimits:
+    """Limits of each router; `cores` below 1 is enforced beside hostile clients alone."""
+
+    memory_mb: int = 128
+    sockets: int = 256
+    cores: float = 1.0
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """A whole run."""
@@ -128,6 +147,7 @@
     drain_grace: float  # ms
     pushed: bool  # whether lists are pushed; else asked for
     faults: tuple[Fault, ...] = field(default=())
+    limits: RouterLimits = RouterLimits()
 
     @property
     def processes(self) -> int:
@@ -212,6 +232,10 @@
     while at < seconds - QUIET_END:
         faults.append(_fault(rng, at, routers, nodes))
         at += rng.expovariate(1 / rng.choice((0.2, 0.5, 1.0)))
+    limits = _limits(seed)
+    further = _further_faults(seed, seconds, routers) + _hostile_faults(
+        seed, seconds, routers, limits
+    )
     return Plan(
         seed,
         seconds,
@@ -224,10 +248,33 @@
         dedup_window=rng.choice((150.0, 400.0, 1_000.0)),
         drain_grace=rng.choice((250.0, 500.0)),
         pushed=rng.random() < 0.5,
-        faults=tuple(sorted([*faults, *_further_faults(seed, seconds, routers)], key=_starts_at)),
+        faults=tuple(sorted([*faults, *further], key=_starts_at)),
+        limits=limits,
+    )
+
+
+def _limits(seed: int) -> RouterLimits:
+    rng = random.Random(f"limits {seed}")
+    return RouterLimits(
+        rng.choice(MEMORY_LIMITS), rng.choice(DESCRIPTOR_LIMITS), rng.choice(CORE_SHARES)
     )
 
 
+def _hostile_faults(seed: int, seconds: float, routers: int, limits: RouterLimits) -> list[Fault]:
+    """Hostile clients of a seed, of which a crowd alone has more than few descriptors allow."""
+    if limits.sockets < MANY_DESCRIPTORS:
+        return []
+    rng = random.Random(f"hostile {seed}")
+    faults = []
+    at = QUIET_START + rng.expovariate(HOSTILE_RATE)
+    while at < seconds - QUIET_END:
+        duration = rng.uniform(*DURATIONS[FaultKind.HOSTILE])
+        kind = float(rng.randrange(len(HOSTILE_KINDS)))
+        faults.append(Fault(at, FaultKind.HOSTILE, rng.randrange(routers), duration, kind))
+        at += duration + rng.expovariate(HOSTILE_RATE)
+    return faults
+
+
 def _starts_at(fault: Fault) -> float:
     return fault.at
 
--- a/tansycrank/testbed/soak/seeded_bugs.py
+++ b/tansycrank/testbed/soak/seeded_bugs.py
@@ -8,13 +8,20 @@
 import sys
 from collections.abc import Callable
 
-from tansycrank import clock, routing
-from tansycrank.http_router import daemon
+from twisted.internet import tcp
+
+from tansycrank import clock, listening, routing
+from tansycrank.byte_budget import ByteBudget
+from tansycrank.http_router import client_input, daemon, input_scheduler, request_parser
+from tansycrank.http_router.body_reservations import BodyReservations
 from tansycrank.http_router.client_connection import ClientConnection
+from tansycrank.http_router.connection_eviction import ConnectionEviction
 from tansycrank.http_router.coordinator import Coordinator
 from tansycrank.http_router.discovery_exchange import DiscoveryExchange
 from tansycrank.http_router.http_server import HttpServer
+from tansycrank.http_router.recent_requests import RecentRequests
 from tansycrank.lifecycle import AnswerKind, Lifecycle
+from tansycrank.memory_monitor import MemoryMonitor
 
 
 def wall_clock() -> None:
@@ -191,6 +198,40 @@
     HttpServer.stop_admitting, HttpServer.close_all = stop_admitting, lambda self: None
 
 
+def parses_to_the_end() -> None:
+    """What is read at once is parsed and answered at once, whatever it costs."""
+    listening.MAX_READ_BYTES = 1 << 16
+    client_input.SLICE_BYTES = 1 << 16
+    input_scheduler.QUANTUM_SECONDS = input_scheduler.TURN_SECONDS = 60.0
+
+
+def counts_bytes_on_the_wire() -> None:
+    """A head of short fields counts as much as the bytes that were received of it."""
+    request_parser.MAX_FIELDS = 1 << 20
+    request_parser.FIELD_OVERHEAD_BYTES = 0
+    MemoryMonitor.check = lambda self: False
+
+
+def reads_all_bodies() -> None:
+    """Every body is read, however many there are."""
+    BodyReservations.reserve = lambda self, holder, size: True
+    ByteBudget._release_excess = lambda self: None
+    MemoryMonitor.check = lambda self: False
+
+
+def forgets_ids() -> None:
+    """An id is unknown once its client has left."""
+    RecentRequests.contains = lambda self, request_id, now: False
+
+
+def closes_over_unread_requests() -> None:
+    """Idle connections are closed without a look at what lies unread."""
+    ClientConnection.is_closable = property(lambda self: self.is_idle)
+    listening.ClientTransport.loseConnection = tcp.Server.loseConnection
+    listening.is_closed_by_peer = lambda connection: False
+    ConnectionEviction._candidates = ConnectionEviction._idle_after_a_request
+
+
 BUGS: dict[str, Callable[[], None]] = {
     bug.__name__.replace("_", "-"): bug
     for bug in (
@@ -208,6 +249,11 @@
         dies_at_the_second_signal,
         makes_room_at_any_price,
         hears_until_it_ends,
+        parses_to_the_end,
+        counts_bytes_on_the_wire,
+        reads_all_bodies,
+        forgets_ids,
+        closes_over_unread_requests,
     )
 }
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,7 +14,15 @@
 from tansycrank.testbed.soak.clients import judge
 from tansycrank.testbed.soak.fleet import Fleet
 from tansycrank.testbed.soak.oracle import Invariant, Verdict, Violation
-from tansycrank.testbed.soak.plan import HOUR, Fault, FaultKind, SignalSeries, draw
+from tansycrank.testbed.soak.plan import (
+    HOSTILE_KINDS,
+    HOUR,
+    Fault,
+    FaultKind,
+    RouterLimits,
+    SignalSeries,
+    draw,
+)
 from tansycrank.testbed.soak.records import Ending
 from tansycrank.testbed.soak.run import Report, play, soak, totals
 
@@ -101,7 +109,49 @@
     return replace(plan, wrong_from_the_start=(0.0,) * plan.routers, faults=tuple(faults))
 
 
-@pytest.mark.parametrize("plan", [drains_while_stopped, signals_in_series, crowds])
+def hostile(*kinds, seconds=7.0, cores=1.0, memory_mb=64):
+    """Hostile clients of these kinds, each at a router of its own, while others go on."""
+    plan = replace(
+        draw(SEED, seconds),
+        clients=CLIENTS,
+        limits=RouterLimits(memory_mb, 1024, cores),
+        routers=len(kinds),
+    )
+    faults = [
+        Fault(1.5, FaultKind.HOSTILE, router, seconds - 3.0, float(HOSTILE_KINDS.index(kind)))
+        for router, kind in enumerate(kinds)
+    ]
+    return replace(plan, wrong_from_the_start=(0.0,) * plan.routers, faults=tuple(faults))
+
+
+def slow_crowds():
+    return hostile("half_bodies", "slow_bytes", "idle_connections", memory_mb=48)
+
+
+def costly_input():
+    return hostile("short_header_fields", "single_byte_chunks", "undecodable_bodies")
+
+
+def floods_at_a_part_of_a_core():
+    return hostile("new_connections", "unknown_classes", "small_requests", cores=0.7)
+
+
+def clients_that_leave():
+    return hostile("returning_ids", "full_pipelines", "sound_requests")
+
+
+@pytest.mark.parametrize(
+    "plan",
+    [
+        drains_while_stopped,
+        signals_in_series,
+        crowds,
+        slow_crowds,
+        costly_input,
+        floods_at_a_part_of_a_core,
+        clients_that_leave,
+    ],
+)
 def test_the_router_keeps_its_invariants_under(plan):
     report = play(plan())
     assert report.passed, "\n".join(report.details())
@@ -115,6 +165,11 @@
         (signals_in_series, "dies-at-the-second-signal"),
         (signals_in_series, "hears-until-it-ends"),
         (crowds, "makes-room-at-any-price"),
+        (slow_crowds, "reads-all-bodies"),
+        (costly_input, "counts-bytes-on-the-wire"),
+        (costly_input, "parses-to-the-end"),
+        (floods_at_a_part_of_a_core, "closes-over-unread-requests"),
+        (clients_that_leave, "forgets-ids"),
     ],
 )
 def test_a_bug_is_caught_under(plan, bug):
