Clients' input: queries wait for unread bytes only where a disconnect may be hidden behind them

Change: only from 16 KiB of unread bytes on, or where the system tells no state, is more read first; then for 0.25 s before queries are refused. Open queries of a connection that is not read are given up under the same condition.

--- a/tansycrank/http_router/client_connection.py
+++ b/tansycrank/http_router/client_connection.py
@@ -27,7 +27,8 @@
 MEMORY_TIMEOUT = 1.0  # s, from its first byte, for a large request to get memory
 IDLE_TIMEOUT = 3.0  # s until an unused connection is closed
 UNREAD_TIMEOUT = 5.0  # s until a connection is closed whose client does not read
-MAX_UNREAD_TIME = 0.05  # s for which bytes may lie unread behind open queries; see `admit`
+MAX_ADMISSION_DELAY = 0.25  # s for reading what lies behind queries that await admission
+MAX_UNREAD_TIME = 0.05  # s for which the disconnect of a client with open queries may be hidden
 UNREAD_CHECK_INTERVAL = 0.005  # s
 LINGER_TIME = 0.25  # s between a final error response and the close of the connection
 # Bytes discarded at most while lingering. Closing with unread bytes resets the connection, and the
@@ -231,9 +232,10 @@
 
         The end of the connection may lie behind them. If that takes too long, they are rejected.
         """
-        if not self._input.unparsed_bytes and not self.transport.unread_bytes:
+        is_unread = self._input.unparsed_bytes or self.transport.unread_bytes
+        if not is_unread or not self.transport.may_hide_disconnect:
             return False
-        if self.server.now - self._requests.unadmitted_since < MAX_UNREAD_TIME:
+        if self.server.now - self._requests.unadmitted_since < MAX_ADMISSION_DELAY:
             return True
         self._requests.reject_unadmitted(UNREADABLE_MESSAGE)
         return False
@@ -375,9 +377,10 @@
         """Reject the open queries if the client may have left: it has not been read since then."""
         if not self.pending:
             return
+        is_late = self.server.now - paused_since >= MAX_UNREAD_TIME
         if self.transport.has_peer_closed:
             self._on_disconnected()
-        elif self.server.now - paused_since >= MAX_UNREAD_TIME:
+        elif is_late and self.transport.may_hide_disconnect:
             self.reject_pending()
 
     def _on_disconnected(self) -> None:
--- a/tansycrank/listening.py
+++ b/tansycrank/listening.py
@@ -26,6 +26,8 @@
 ACCEPT_QUEUE_EMPTY = (errno.EAGAIN, errno.EWOULDBLOCK)
 TCP_INFO_BYTES = 104
 LAST_DATA_RECEIVED = struct.Struct("=52xI")  # ms since then, in Linux's `struct tcp_info`
+# Unread bytes of a connection from which on its peer may wait for room in the kernel's buffer
+MIN_HIDING_BYTES = 16 * 1024
 UNREAD_BYTES = struct.Struct("i")  # result of FIONREAD
 PEER_CLOSED_STATES = (7, 8)  # TCP_CLOSE and TCP_CLOSE_WAIT of Linux, first byte of `tcp_info`
 
@@ -114,6 +116,11 @@
         """Whether the peer has closed its side, even if bytes from before lie unread."""
         return is_closed_by_peer(self.socket)
 
+    @property
+    def may_hide_disconnect(self) -> bool:
+        """Whether the peer may have closed behind bytes for which the kernel has no room yet."""
+        return self.unread_bytes >= MIN_HIDING_BYTES or not _tcp_info(self.socket)
+
     def doRead(self) -> Exception | None:
         """Read what has arrived, up to `MAX_READ_BYTES`; return why the connection has ended."""
         try:
--- a/tests/http_router/live.py
+++ b/tests/http_router/live.py
@@ -127,6 +127,7 @@
     )
     unread_bytes = 0  # that the kernel has received
     has_peer_closed = False
+    may_hide_disconnect = False
 
     def setTcpNoDelay(self, enabled):
         pass
