--- a/tests/http_router/test_connection_eviction.py
+++ b/tests/http_router/test_connection_eviction.py
@@ -5,7 +5,7 @@
 
 import pytest
 from live import RouterHarness, answer, post, status
-from real import Node, Program, read_answer
+from real import Node, read_answer
 
 from tansycrank.http_router import connection_eviction
 
@@ -66,19 +66,6 @@
     assert not begun.over and not begun.half_closed
 
 
-@pytest.fixture
-def start(tmp_path):
-    started = []
-
-    def make(*nodes, **more):
-        started.append(Program(tmp_path, nodes, **more))
-        return started[0]
-
-    yield make
-    for program in started:
-        program.kill()
-
-
 def test_a_request_behind_a_crowd_of_idle_connections_is_answered_in_time(start):
     """Guards against a queue of idle connections that each hold a place for half a second."""
     program = start(Node(), limits=FEW_DESCRIPTORS)
--- a/tests/http_router/test_crossings.py
+++ b/tests/http_router/test_crossings.py
@@ -7,7 +7,7 @@
 
 import pytest
 from live import answer, post
-from real import Node, Program, close_connection, read_answer, wait_until
+from real import Node, close_connection, read_answer, wait_until
 
 # A shard request waits for its connection for a third of the latency objective.
 LONG = {"aim": 6000.0, "giveUp": 9000.0}
@@ -25,19 +25,6 @@
     return post(id=id, path=path, body=body, deadline=8000)
 
 
-@pytest.fixture
-def start(tmp_path):
-    started = []
-
-    def make(*nodes, **more):
-        started.append(Program(tmp_path, nodes, **more))
-        return started[0]
-
-    yield make
-    for program in started:
-        program.kill()
-
-
 def check_served(program, id="marker"):
     """Check that a further query succeeds: all that was sent before has then been handled."""
     status, body = read_answer(program.client(post(id=id)))
--- a/tests/http_router/test_held_bytes.py
+++ b/tests/http_router/test_held_bytes.py
@@ -10,7 +10,7 @@
 
 import pytest
 from live import RouterHarness, answer, config, post, status
-from real import Node, Program, read_answer, wait_until
+from real import Node, read_answer, wait_until
 from test_hostile_clients import LIMITS, MEMORY_LIMIT_MB, Flood, memory_mb
 from test_node_connections import PoolHarness, outcomes
 
@@ -28,19 +28,6 @@
 STATUS_REQUEST = b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
-@pytest.fixture
-def start(tmp_path):
-    started = []
-
-    def make(*nodes, **more):
-        started.append(Program(tmp_path, nodes, **more))
-        return started[0]
-
-    yield make
-    for program in started:
-        program.kill()
-
-
 def large_request(id, text=LARGE_TEXT):
     body = json.dumps({"shards": [{"shard": 0, "weight": 1}], "q": text})
     return post(id=id, body=body, deadline=1900)
--- a/tests/http_router/test_hostile_clients.py
+++ b/tests/http_router/test_hostile_clients.py
@@ -10,7 +10,7 @@
 
 import pytest
 from live import OPERATOR_SETTINGS, RouterHarness, body, config, post, status
-from real import Node, Program, read_answer
+from real import Node, read_answer
 
 from tansycrank.http_router.request_parser import MAX_FIELDS
 
@@ -27,19 +27,6 @@
 TEXT = b'{"shards":[{"shard":1,"weight":1}],"q":"x"}'
 
 
-@pytest.fixture
-def start(tmp_path):
-    started = []
-
-    def make(*nodes, **more):
-        started.append(Program(tmp_path, nodes, **more))
-        return started[0]
-
-    yield make
-    for program in started:
-        program.kill()
-
-
 def client_in_a_hurry(program, request):
     """A client that waits for its answer as long as it is owed to bad clients."""
     connection = program.client(request)
--- a/tests/http_router/test_hostile_discovery.py
+++ b/tests/http_router/test_hostile_discovery.py
@@ -7,7 +7,7 @@
 
 import pytest
 from live import RouterHarness, config, entry, post
-from real import Node, Program, read_answer
+from real import Node, read_answer
 from test_discovery import CHUNKED_RESPONSE_HEAD, chunk, endpoint_list_chunk, states
 from test_hostile_clients import LARGE_PIECE, LIMITS, MEMORY_LIMIT_MB, memory_mb
 from twisted.internet.error import ConnectionDone
@@ -23,19 +23,6 @@
 ODD_ADDRESSES = ["127.0.0.1:\u00b2", "127.0.0.1:" + "1" * 5000, "h" * 70_000 + ":80"]
 
 
-@pytest.fixture
-def start(tmp_path):
-    started = []
-
-    def make(*nodes, **more):
-        started.append(Program(tmp_path, nodes, **more))
-        return started[0]
-
-    yield make
-    for program in started:
-        program.kill()
-
-
 @pytest.fixture
 def live():
     live = RouterHarness()
--- a/tests/http_router/test_input_slices.py
+++ b/tests/http_router/test_input_slices.py
@@ -6,7 +6,7 @@
 
 import pytest
 from live import RouterHarness, post, status
-from real import Node, Program, read_answer
+from real import Node, read_answer
 from test_hostile_clients import CHUNKED_HEAD, Flood, client_in_a_hurry
 
 from tansycrank.http_router.client_connection import MAX_ADMISSION_DELAY, MAX_UNREAD_TIME
@@ -132,19 +132,6 @@
     assert not taken[gone] and taken[other] and not len(scheduler)
 
 
-@pytest.fixture
-def start(tmp_path):
-    started = []
-
-    def make(*nodes, **more):
-        started.append(Program(tmp_path, nodes, **more))
-        return started[0]
-
-    yield make
-    for program in started:
-        program.kill()
-
-
 def test_usual_requests_are_served_in_time_beside_bodies_in_chunks_of_a_byte(start):
     """Guards against a crowd whose bodies, in very many chunks, hold the event loop for seconds."""
     program = start(Node(), limits={"cores": 1.0, "memory_mb": 64, "sockets": 1024})
--- a/tests/http_router/test_kept_connections.py
+++ b/tests/http_router/test_kept_connections.py
@@ -6,7 +6,7 @@
 
 import pytest
 from live import RouterHarness, answer, post, status
-from real import Node, Program, read_answer
+from real import Node, read_answer
 from twisted.internet.protocol import Protocol
 from twisted.internet.testing import MemoryReactorClock
 
@@ -18,19 +18,6 @@
 STATUS_REQUEST = b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
-@pytest.fixture
-def start(tmp_path):
-    started = []
-
-    def make(*nodes, **more):
-        started.append(Program(tmp_path, nodes, **more))
-        return started[0]
-
-    yield make
-    for program in started:
-        program.kill()
-
-
 def kept_connections(program, number):
     """Connections that have been used once."""
     connections = [program.client() for _ in range(number)]
--- a/tests/http_router/test_unread.py
+++ b/tests/http_router/test_unread.py
@@ -10,25 +10,12 @@
 
 import pytest
 from live import RouterHarness, answer, config, post
-from real import Node, Program, read_answer, wait_until
+from real import Node, read_answer, wait_until
 
 DEADLINE = 1500  # ms
 WAIT_SLACK = 150  # ms by which the wait sent to a node may exceed the client's remaining time
 
 
-@pytest.fixture
-def start(tmp_path):
-    started = []
-
-    def make(*nodes, **more):
-        started.append(Program(tmp_path, nodes, **more))
-        return started[0]
-
-    yield make
-    for program in started:
-        program.kill()
-
-
 @pytest.mark.parametrize("used", [False, True], ids=["not accepted yet", "on a used connection"])
 @pytest.mark.parametrize("suspended_s", [0.3, 0.8])
 def test_a_node_gets_the_remaining_time_of_the_client(start, used, suspended_s):
