Belief test: the owners of clients' state that have moved are looked at too

Change: it asserts the same there, and that nothing is left of lingering connections, inputs, reservations and unread connections.

--- a/tests/http_router/test_belief.py
+++ b/tests/http_router/test_belief.py
@@ -97,7 +97,11 @@
         and not policy.queries.shard_requests
         and not policy.queries.attempts_in_flight
     )
-    assert not live.daemon.server.connections and not live.daemon.server.idle_after_query
+    server = live.daemon.server
+    assert not server.connections and not server.delayed_admission and not server.input_scheduler
+    assert not server.eviction.idle_after_query and not server.eviction.lingering
+    assert not server.held_bytes.held_bytes and not server.body_reservations.reserved_bytes
+    assert not server.disconnect_monitor._paused_since and not server.body_reservations.waiting
     assert len(policy.endpoints) <= 6 and len(live.daemon.endpoint_directory) < 100
     assert len(live.daemon.pool.endpoints) == 3 and live.daemon.pool.connection_count <= 6
     assert len(policy.timers) < 100 and len(policy._budget._accepted._entries) < 100
