Memory: large values count as held from their arrival, not from the answer that is made of them

Cause: a query counted its text, and its response once that was made. Found by asking of each holder of the table of bounds what counts it.

Change: a query counts its values twice (they stand in the response too); one of 1 KiB or more is reported when it comes.

--- a/tansycrank/http_router/active_query.py
+++ b/tansycrank/http_router/active_query.py
@@ -30,14 +30,16 @@
 class ActiveQuery:
     """An accepted query and its shard requests.
 
-    `on_response` is called exactly once, unless the client disconnects first. `lifecycle_query`
-    is the query's record in the lifecycle checks.
+    `on_response` is called exactly once, unless the client disconnects first. `on_value` is called
+    when a large value has arrived, which is held until the answer. `lifecycle_query` is the query's
+    record in the lifecycle checks.
     """
 
     id: int
     request: QueryRequest
     on_response: Callable[[Response], None]
     lifecycle_query: Query
+    on_value: Callable[[], None] = lambda: None
     shard_requests: list[ActiveShardRequest] = field(default_factory=list)
 
     @property
@@ -50,6 +52,11 @@
         """Number of entries it takes up in the limit on queries and shard requests in flight."""
         return 1 + len(self.shard_requests)
 
+    @property
+    def value_bytes(self) -> int:
+        """Number of bytes of the results so far, and of the answer that is made of them."""
+        return 2 * sum(len(value) for _, value in self.values)
+
     @property
     def values(self) -> list[tuple[int, str]]:
         """The results so far, as (shard, value) pairs."""
--- a/tansycrank/http_router/coordinator.py
+++ b/tansycrank/http_router/coordinator.py
@@ -22,6 +22,8 @@
 from tansycrank.policy_event_loop import PolicyEventLoop
 from tansycrank.routing import FailureReason
 
+LARGE_VALUE = 1024  # characters from which on a value counts as held as soon as it arrives
+
 
 class Coordinator:
     """Tracks the queries in flight: at most `max_in_flight` queries and shard requests in total."""
@@ -93,11 +95,12 @@
         request: QueryRequest,
         on_response: Callable[[Response], None],
         waited: float = 0.0,
+        on_value: Callable[[], None] = lambda: None,
     ) -> ActiveQuery:
         """Start processing a query that arrived `waited` ms ago.
 
-        `on_response` is called with the answer. Raises RequestRejectedError if the query cannot be
-        accepted.
+        `on_response` is called with the answer, `on_value` when a large value is held. Raises
+        RequestRejectedError if the query cannot be accepted.
         """
         now = self.loop.now
         if request.id in self.queries:
@@ -114,7 +117,7 @@
             len(request.shard_requests),
             now,
         )
-        query = ActiveQuery(self._last_id, request, on_response, lifecycle_query)
+        query = ActiveQuery(self._last_id, request, on_response, lifecycle_query, on_value)
         events = [self._query_arrived(query, remaining), *self._add_shard_requests(query)]
         self.queries[request.id] = self._queries_by_id[query.id] = query
         self.in_flight += query.size
@@ -268,6 +271,8 @@
         if event.outcome is routing.Outcome.SUCCEEDED and shard_request.value is None:
             shard_request.value = value
             self._revoke_unsent(shard_request)
+            if len(value) >= LARGE_VALUE:
+                self.loop.reactor.callLater(0, query.on_value)
         self.loop.enqueue(event)
         if query.has_ended:
             self._forget(shard_request)
--- a/tansycrank/http_router/pending_answer.py
+++ b/tansycrank/http_router/pending_answer.py
@@ -23,11 +23,12 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes held for it: its text, once more for each frame to a data node, or its response."""
+        """Bytes held for it: its text, once more for each frame, and values; or its response."""
         if self.response is not None:
             return REQUEST_OVERHEAD_BYTES + len(self.response.body)
         if self.query is not None:
             request = self.query.request
-            return REQUEST_OVERHEAD_BYTES + len(request.text) * (1 + len(request.shard_requests))
+            text_bytes = len(request.text) * (1 + len(request.shard_requests))
+            return REQUEST_OVERHEAD_BYTES + text_bytes + self.query.value_bytes
         text = self.unadmitted.text if self.unadmitted is not None else b""
         return REQUEST_OVERHEAD_BYTES + len(text)
--- a/tansycrank/http_router/pending_requests.py
+++ b/tansycrank/http_router/pending_requests.py
@@ -25,7 +25,7 @@
     """Decodes, admits and rejects requests; each gets exactly one response, in `answers`.
 
     Queries are decoded when they were read, and admitted later, see `DelayedAdmission`.
-    `on_answered` is called after each response of the routing policy.
+    `on_answered` is called after each response of the routing policy, and when one holds more.
     """
 
     def __init__(self, server: ConnectionServer, on_answered: Callable[[], None]) -> None:
@@ -108,12 +108,16 @@
             if self._on_answered is not None:
                 self._on_answered()
 
+        def on_value() -> None:
+            if self._on_answered is not None:
+                self._on_answered()
+
         def accept() -> None:
             if not coordinator.has_room(request):
                 self._server.disconnect_monitor.check_now()
             # Time that the request spent unread counts against its deadline.
             waited_ms = (self._server.now - answer.arrived_at) * 1000
-            answer.query = coordinator.accept(request, on_response, waited_ms)
+            answer.query = coordinator.accept(request, on_response, waited_ms, on_value)
 
         self._reject_on_error(answer, accept)
 
--- a/tests/http_router/test_held_bytes.py
+++ b/tests/http_router/test_held_bytes.py
@@ -174,6 +174,21 @@
     assert outcomes(harness)["b.1"] == [Outcome.SUCCEEDED]
 
 
+def test_values_that_wait_for_the_rest_of_their_answer_are_bounded():
+    """Guards against large values of many queries, which no bound counts until the answer."""
+    limits = {"cores": 1.0, "memory_mb": 4, "sockets": 128}  # 512 KiB for all clients
+    harness = RouterHarness(config(limits=limits))
+    shards = ((0, 0.5), (1, 0.5))
+    clients = [harness.send_request(post(id=f"q{n}", shards=shards)) for n in range(12)]
+    for peer, id, shard in harness.take_shard_requests():
+        if shard == 0:
+            peer.send(answer(id, value=LARGE_TEXT))
+    harness.run(0)
+    budget = harness.daemon.server.held_bytes
+    assert budget.held_bytes <= budget.limit_bytes
+    assert 503 in {status(transport.take()) for transport in clients}
+
+
 def finish_request(harness, protocol, transport):
     protocol.dataReceived(STATUS_REQUEST)
 
