Soak: ports of discovery and data nodes are reserved between two lives of their process

Trace: nothing of the soak listens there; floods of new connections take thousands of the system's outgoing ports, and one of them was that port while discovery was away.

Change: the ports of discovery and data nodes are reserved as the routers' are. Hostile clients and the watch of memory are a module of their own.

--- a/tansycrank/testbed/soak/fleet.py
+++ b/tansycrank/testbed/soak/fleet.py
@@ -5,24 +5,20 @@
 import json
 import signal
 import subprocess
-import sys
 import threading
 import time
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 
-import msgspec
-
 from tansycrank import clock
-from tansycrank.testbed.neighbours.hostile import HostileSpec
+from tansycrank.testbed.ports import ReservedPort
 from tansycrank.testbed.soak import records
 from tansycrank.testbed.soak.clients import ClientsSpec
 from tansycrank.testbed.soak.discovery import DiscoverySpec
 from tansycrank.testbed.soak.node import FELL
 from tansycrank.testbed.soak.oracle import Evidence
 from tansycrank.testbed.soak.parties import (
-    ROOT,
     STARTS_WITHIN,
     ControlLine,
     NodeProcess,
@@ -30,12 +26,12 @@
     start_module,
 )
 from tansycrank.testbed.soak.plan import (
-    HOSTILE_KINDS,
     Fault,
     FaultKind,
     Plan,
     SignalSeries,
 )
+from tansycrank.testbed.soak.pressure import play_hostile_clients, watch_memory
 from tansycrank.testbed.soak.records import ClientRecord, FaultRecord, HalfRequest, NodeEvent, Told
 
 NO_NEW_CONNECTIONS = 0.3  # s after SIGTERM from which on clients make none to that router
@@ -43,8 +39,6 @@
 BETWEEN_SIGNALS = 0.05  # s in a series
 RELOADS = 4  # in a series
 TOLD_AFTER = 0.3  # s until discovery knows that a node died
-MEMORY_INTERVAL = 0.02  # s between readings of the routers' memory
-THROTTLE_PERIOD = 0.1  # s in which a router with a part of a core is stopped once
 SETTLE = 1.0  # s after the last request, for what nodes still have to note
 
 
@@ -68,8 +62,10 @@
         self.discovery_busy = threading.Lock()
         self.discovery: subprocess.Popen | None = None
         self.discovery_line: ControlLine | None = None
-        self.discovery_ports = [[0, 0] for _ in range(plan.routers)]
-        self.discovery_control = 0
+        self._reserved = [ReservedPort() for _ in range(2 * plan.routers + 1)]
+        numbers = [port.number for port in self._reserved]
+        self.discovery_ports = [numbers[2 * n : 2 * n + 2] for n in range(plan.routers)]
+        self.discovery_control = numbers[-1]
         self.nodes = [NodeProcess(self, number) for number in range(plan.nodes)]
         self.routers: list[RouterProcess] = []
         self.clients: list[subprocess.Popen] = []
@@ -132,7 +128,8 @@
     def play(self) -> Evidence:
         """Carry out the plan's faults, each in a thread of its own; then all that was recorded."""
         over = threading.Event()
-        threads = [threading.Thread(target=self._watch_memory, args=(over,))]
+        memory = self.plan, self.routers, self.problems, over
+        threads = [threading.Thread(target=watch_memory, args=memory)]
         threads[0].start()
         for fault in self.plan.faults:
             time.sleep(max(self.began + fault.at - time.monotonic(), 0.0))
@@ -155,18 +152,6 @@
             self.problems.append("no request was recorded: nothing was judged")
         return evidence
 
-    def _watch_memory(self, over: threading.Event) -> None:
-        """Note the routers that exceed their memory limit, once each."""
-        exceeding: set[int] = set()
-        while not over.wait(MEMORY_INTERVAL):
-            for router in self.routers:
-                if router.exceeds_memory() and router.number not in exceeding:
-                    exceeding.add(router.number)
-                    limit = self.plan.limits.memory_mb
-                    self.problems.append(
-                        f"router {router.number} took {router.peak_memory:.0f} MB of {limit}"
-                    )
-
     def _find_the_dead(self) -> None:
         """A party that ended by itself: a router's fault, or a witness that is missing."""
         parties = {f"router {router.number}": router.process for router in self.routers}
@@ -222,6 +207,8 @@
         lines = [node.line for node in self.nodes] + self.client_lines + [self.discovery_line]
         for line in filter(None, lines):
             line.close()
+        for reserved in (*self._reserved, *(node.reserved for node in self.nodes)):
+            reserved.release()
         for router in self.routers:
             router.wall_clock.close()
             router.failing_calls.close()
@@ -413,7 +400,7 @@
             case FaultKind.BURST:
                 self._burst(fault)
             case FaultKind.HOSTILE:
-                self._play_hostile_clients(fault, self.routers[fault.target])
+                play_hostile_clients(self.plan, fault, self.routers[fault.target])
             case FaultKind.CROWD:
                 self._order_clients(crowd=fault.target, stays=True)
                 time.sleep(fault.duration)
@@ -426,24 +413,6 @@
                 return self._discovery_fault(fault)
         return True
 
-    def _play_hostile_clients(self, fault: Fault, router: RouterProcess) -> None:
-        kind = HOSTILE_KINDS[int(fault.value)]
-        seed = self.plan.seed * 1000 + int(fault.at * 10)
-        spec = msgspec.json.encode(HostileSpec(kind, router.port, fault.duration, seed)).decode()
-        command = [sys.executable, "-m", "tansycrank.testbed.neighbours.hostile", spec]
-        process = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.DEVNULL)
-        stopped = THROTTLE_PERIOD * (1 - self.plan.limits.cores)
-        try:
-            while stopped and process.poll() is None:
-                time.sleep(THROTTLE_PERIOD - stopped)
-                router.signal(signal.SIGSTOP)
-                time.sleep(stopped)
-                router.signal(signal.SIGCONT)
-            process.wait(fault.duration + STARTS_WITHIN)
-        finally:
-            process.kill()
-            process.wait()
-
     def _burst(self, fault: Fault) -> None:
         for line in self.client_lines:
             line.order(burst=True)
--- a/tansycrank/testbed/soak/parties.py
+++ b/tansycrank/testbed/soak/parties.py
@@ -178,7 +178,9 @@
 
     def __init__(self, fleet: Fleet, number: int) -> None:
         self.fleet, self.number, self.name = fleet, number, f"s-{number}"
-        self.process, self.line, self.port, self.started_ms = None, None, 0, 0.0
+        self.reserved = ReservedPort()  # it comes back on the same port after a crash
+        self.process, self.line, self.started_ms = None, None, 0.0
+        self.port = self.reserved.number
         self.journal = fleet.folder / f"node-{number}.jsonl"
         self.busy = threading.Lock()  # one fault at a time that ends its process
 
@@ -192,7 +194,7 @@
             clock.monotonic_ms() if cold else 0.0,
         )
         self.process, told = start_module("node", spec)
-        self.port, self.line = told["port"], ControlLine(told["control"])
+        self.line = ControlLine(told["control"])
         self.started_ms = clock.unix_ms() if cold else 0.0
 
     def entry(self, state: str) -> dict:
