Clients' input: small requests of new connections go before large inputs, and parsing has half of a long turn

Trace (state report and close log of router 1): 438 inputs wait for their turn, their 431 comes 1.4 s after their accept; loop turns of 10 to 130 ms. A turn gave parsing 2 ms however long the rest of it took, so 450 heads of short fields took a second, and small requests on new connections stood behind them.

Change: parsing may take as long as the rest of the turn did (20 ms at most); a queue of its own for small inputs of new connections; each of the four kinds has a quarter of the time at least.

Result: tests/http_router/test_input_slices.py, three new tests.

--- a/tansycrank/http_router/client_input.py
+++ b/tansycrank/http_router/client_input.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from tansycrank.http_router.disconnect_monitor import MonitoredConnection
+from tansycrank.http_router.input_scheduler import InputClass
 from tansycrank.http_router.interfaces import ConnectionServer
 from tansycrank.http_router.request_codec import RequestRejectedError
 from tansycrank.http_router.request_parser import SMALL_BODY, RequestHandler, RequestParser
@@ -102,7 +103,13 @@
         """Parse what is left, in turn with other connections."""
         if self._unparsed and self._may_parse:
             self._pause_reading()
-            self._scheduler.submit(self, self._owner.has_completed_request)
+            self._scheduler.submit(self, self._input_class())
+
+    def _input_class(self) -> InputClass:
+        if self._owner.has_completed_request:
+            return InputClass.KEPT
+        is_small = len(self._unparsed) <= MAX_IMMEDIATE_BYTES
+        return InputClass.SMALL if is_small else InputClass.LARGE
 
     @property
     def _may_parse(self) -> bool:
--- a/tansycrank/http_router/input_scheduler.py
+++ b/tansycrank/http_router/input_scheduler.py
@@ -2,13 +2,34 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import Protocol
 
 TURN_SECONDS = 0.002  # for parsing in turns, and as much for small reads, in one reactor turn
+# s for parsing in turns, if the rest of the reactor turn took as long: half of the time at most
+MAX_TURN_SECONDS = 0.02
 QUANTUM_SECONDS = 0.0005  # for one connection until the next has its turn
 LONG_INPUT_SECONDS = 0.002  # from which on an input counts as long
 
 
+class InputClass(Enum):
+    """The kinds of input, each with a queue of its own."""
+
+    KEPT = "of a connection that has had a request before"
+    SMALL = "of a new connection, as small as usual requests"
+    LARGE = "of a new connection, larger"
+    LONG = "that has taken much time already"
+
+
+# The queues are asked in these orders in turn, so that each has a quarter of the time at least.
+ORDERS = (
+    (InputClass.KEPT, InputClass.SMALL, InputClass.LARGE, InputClass.LONG),
+    (InputClass.SMALL, InputClass.KEPT, InputClass.LARGE, InputClass.LONG),
+    (InputClass.LARGE, InputClass.KEPT, InputClass.SMALL, InputClass.LONG),
+    (InputClass.LONG, InputClass.KEPT, InputClass.SMALL, InputClass.LARGE),
+)
+
+
 class ScheduledInput(Protocol):
     """The unparsed input of a connection."""
 
@@ -17,31 +38,25 @@
 
 
 class InputScheduler:
-    """Three queues, each served in turn: of kept connections, of new ones, and of long inputs.
+    """Serves the queues of all input classes, and the inputs of each, in turn.
 
-    Inputs of kept connections, which have had a request before, go first half of the time: a crowd
-    of new connections does not delay them. Inputs that have taken long go a quarter of the time.
+    Usual requests, on kept connections or new ones, do not wait behind a crowd of large inputs.
     """
 
     def __init__(self, reactor) -> None:
         self._reactor = reactor
         # with the seconds taken so far, the next one first
-        self._kept: dict[ScheduledInput, float] = {}
-        self._new: dict[ScheduledInput, float] = {}
-        self._long: dict[ScheduledInput, float] = {}
-        self._orders = (
-            (self._kept, self._new, self._long),
-            (self._new, self._kept, self._long),
-            (self._kept, self._new, self._long),
-            (self._long, self._kept, self._new),
-        )
+        self._queues: dict[InputClass, dict[ScheduledInput, float]] = {
+            input_class: {} for input_class in InputClass
+        }
         self._quanta = 0
         self.total_seconds = 0.0  # taken by all parsing
         self._immediate_seconds = 0.0  # taken by small reads in this reactor turn
         self._turn = None  # the timer of the next turn
+        self._turn_requested_at = 0.0  # s
 
     def __len__(self) -> int:
-        return len(self._kept) + len(self._new) + len(self._long)
+        return sum(map(len, self._queues.values()))
 
     @property
     def has_time(self) -> bool:
@@ -52,38 +67,40 @@
         """Count the time that an immediate parse has taken."""
         self._immediate_seconds += seconds
         self.total_seconds += seconds
-        self._start_turn()
+        self._request_turn()
 
-    def submit(self, input: ScheduledInput, is_kept: bool) -> None:
+    def submit(self, input: ScheduledInput, input_class: InputClass) -> None:
         """Parse an input from the next reactor turn on, until none of it is left."""
-        if not any(input in queue for queue in self._orders[0]):
-            queue = self._kept if is_kept else self._new
-            queue[input] = 0.0
-            self._start_turn()
+        if not any(input in queue for queue in self._queues.values()):
+            self._queues[input_class][input] = 0.0
+            self._request_turn()
 
     def cancel(self, input: ScheduledInput) -> None:
         """Drop an input."""
-        for queue in self._orders[0]:
+        for queue in self._queues.values():
             queue.pop(input, None)
 
-    def _start_turn(self) -> None:
+    def _request_turn(self) -> None:
         if self._turn is None:
+            self._turn_requested_at = self._reactor.seconds()
             self._turn = self._reactor.callLater(0, self._run)
 
     def _run(self) -> None:
         self._turn, self._immediate_seconds = None, 0.0
-        until = self._reactor.seconds() + TURN_SECONDS
+        started = self._reactor.seconds()
+        rest_of_turn = started - self._turn_requested_at
+        until = started + min(max(TURN_SECONDS, rest_of_turn), MAX_TURN_SECONDS)
         while len(self):
             self._run_quantum(until)
             if self._reactor.seconds() >= until:
                 break
         if len(self):
-            self._start_turn()
+            self._request_turn()
 
     def _run_quantum(self, turn_end: float) -> None:
         self._quanta += 1
-        order = self._orders[self._quanta % len(self._orders)]
-        queue = next(queue for queue in order if queue)
+        order = ORDERS[self._quanta % len(ORDERS)]
+        queue = next(self._queues[one] for one in order if self._queues[one])
         input = next(iter(queue))
         taken = queue.pop(input)
         started = self._reactor.seconds()
@@ -92,5 +109,6 @@
         taken += spent
         self.total_seconds += spent
         if is_left:
-            target = queue if taken < LONG_INPUT_SECONDS else self._long
+            is_short = taken < LONG_INPUT_SECONDS
+            target = queue if is_short else self._queues[InputClass.LONG]
             target[input] = taken
--- a/tests/http_router/test_input_slices.py
+++ b/tests/http_router/test_input_slices.py
@@ -13,8 +13,10 @@
 from tansycrank.http_router.client_input import MAX_IMMEDIATE_BYTES
 from tansycrank.http_router.input_scheduler import (
     LONG_INPUT_SECONDS,
+    MAX_TURN_SECONDS,
     QUANTUM_SECONDS,
     TURN_SECONDS,
+    InputClass,
     InputScheduler,
 )
 
@@ -66,7 +68,7 @@
 def test_a_turn_is_bounded_however_much_input_waits(clock):
     scheduler, taken = InputScheduler(clock), Counter()
     for _ in range(100):
-        scheduler.submit(Input(clock, 1.0, taken), False)
+        scheduler.submit(Input(clock, 1.0, taken), InputClass.LARGE)
     for _ in range(20):
         assert clock.run_turn() <= TURN_SECONDS + QUANTUM_SECONDS
 
@@ -75,7 +77,7 @@
     scheduler, taken = InputScheduler(clock), Counter()
     inputs = [Input(clock, 1.0, taken) for _ in range(4)]
     for one in inputs:
-        scheduler.submit(one, False)
+        scheduler.submit(one, InputClass.LARGE)
     for _ in range(50):
         clock.run_turn()
     times = [taken[one] for one in inputs]
@@ -87,16 +89,16 @@
     scheduler, taken = InputScheduler(clock), Counter()
     crowd = [Input(clock, 10.0, taken) for _ in range(50)]
     for one in crowd:
-        scheduler.submit(one, False)
+        scheduler.submit(one, InputClass.LARGE)
     while min(taken[one] for one in crowd) < LONG_INPUT_SECONDS:
         clock.run_turn()
     before = sum(taken.values())
     usual = Input(clock, 2 * QUANTUM_SECONDS, taken)
-    scheduler.submit(usual, True)
+    scheduler.submit(usual, InputClass.KEPT)
     clock.run_turn()
     assert usual.left == pytest.approx(0.0)
     for _ in range(10):
-        scheduler.submit(Input(clock, LONG_INPUT_SECONDS / 2, taken), True)
+        scheduler.submit(Input(clock, LONG_INPUT_SECONDS / 2, taken), InputClass.KEPT)
         clock.run_turn()
     assert sum(taken[one] for one in crowd) > before
 
@@ -105,13 +107,47 @@
     """Guards against kept connections that wait behind connections opened at full speed."""
     scheduler, taken = InputScheduler(clock), Counter()
     for _ in range(500):
-        scheduler.submit(Input(clock, QUANTUM_SECONDS, taken), False)
+        scheduler.submit(Input(clock, QUANTUM_SECONDS, taken), InputClass.LARGE)
     kept = Input(clock, QUANTUM_SECONDS, taken)
-    scheduler.submit(kept, True)
+    scheduler.submit(kept, InputClass.KEPT)
     clock.run_turn()
     assert taken[kept]
 
 
+def test_a_small_request_on_a_new_connection_goes_before_a_crowd_of_large_inputs(clock):
+    """Guards against usual requests that wait behind a crowd of heads of short fields."""
+    scheduler, taken = InputScheduler(clock), Counter()
+    for _ in range(500):
+        scheduler.submit(Input(clock, QUANTUM_SECONDS, taken), InputClass.LARGE)
+    small = Input(clock, QUANTUM_SECONDS, taken)
+    scheduler.submit(small, InputClass.SMALL)
+    clock.run_turn()
+    assert taken[small]
+
+
+def test_every_class_of_input_has_its_share_of_the_time(clock):
+    scheduler, taken = InputScheduler(clock), Counter()
+    inputs = {one: Input(clock, 100.0, taken) for one in InputClass}
+    for input_class in InputClass:
+        for _ in range(10):
+            scheduler.submit(Input(clock, QUANTUM_SECONDS, taken), input_class)
+        scheduler.submit(inputs[input_class], input_class)
+    for _ in range(20):
+        clock.run_turn()
+    assert all(taken[one] for one in inputs.values())
+
+
+def test_inputs_get_as_much_time_as_the_rest_of_a_turn_takes(clock):
+    """Guards against a crowd that is worked off for a second since each turn is long."""
+    scheduler, taken = InputScheduler(clock), Counter()
+    scheduler.submit(Input(clock, 10.0, taken), InputClass.LARGE)
+    for rest in (0.0, 0.01, 1.0):
+        clock.rightNow += rest
+        spent = clock.run_turn()
+        expected = min(max(rest, TURN_SECONDS), MAX_TURN_SECONDS)
+        assert expected <= spent + 1e-9 <= expected + QUANTUM_SECONDS
+
+
 def test_small_reads_are_parsed_at_once_as_long_as_the_turn_has_time(clock):
     scheduler = InputScheduler(clock)
     scheduler.record_immediate(TURN_SECONDS / 2)
@@ -125,8 +161,8 @@
 def test_a_cancelled_input_is_not_parsed(clock):
     scheduler, taken = InputScheduler(clock), Counter()
     gone, other = Input(clock, 1.0, taken), Input(clock, QUANTUM_SECONDS, taken)
-    scheduler.submit(gone, False)
-    scheduler.submit(other, False)
+    scheduler.submit(gone, InputClass.LARGE)
+    scheduler.submit(other, InputClass.LARGE)
     scheduler.cancel(gone)
     clock.run_turn()
     assert not taken[gone] and taken[other] and not len(scheduler)
