Shutdown: what waits for its turn to be parsed is answered before the connections close

What callers would see: a request that arrived in the last moments of a shutdown, behind much other input, is lost.

Cause: since today input over 2 KiB is parsed in later turns; the last read of a shutdown handed it over and closed.

Change: at the end input is read and parsed to its end, for 30 ms at most. The states of a connection are a module.

--- a/tansycrank/http_router/client_connection.py
+++ b/tansycrank/http_router/client_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import deque
-from enum import Enum
 
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol, connectionDone
@@ -11,6 +10,7 @@
 
 from tansycrank.http_router import request_codec as codec
 from tansycrank.http_router.client_input import NO_MEMORY_MESSAGE, ClientInput
+from tansycrank.http_router.connection_state import CLOSING_STATES, ConnectionState
 from tansycrank.http_router.interfaces import ConnectionServer
 from tansycrank.http_router.pending_answer import PendingAnswer
 from tansycrank.http_router.pending_requests import (
@@ -36,19 +36,6 @@
 MAX_DISCARDED = 256 * 1024
 
 
-class ConnectionState(Enum):
-    """How received bytes are handled, and how far the connection has closed."""
-
-    OPEN = "open"  # requests are read and answered
-    DISCARDING = "discarding"  # the stream is malformed; earlier requests await answers
-    LINGERING = "lingering"  # the error was written; input is discarded until the close
-    CLOSING = "closing"  # closes once written data was sent
-    CLOSED = "closed"
-
-
-CLOSING_STATES = (ConnectionState.LINGERING, ConnectionState.CLOSING, ConnectionState.CLOSED)
-
-
 @implementer(IPushProducer)
 class ClientConnection(Protocol):
     """The connection of one client.
@@ -152,6 +139,13 @@
             self._input.receive(data, self._arrival_time())
         self.server.held_bytes.update(self)
 
+    def read_remaining(self, until: float) -> None:
+        """Read and parse what is left, up to the time `until` (s): the connection will close."""
+        self._input.parse(until)
+        while self.may_parse and self.transport.unread_bytes and self.server.now < until:
+            self.transport.doRead()
+            self._input.parse(until)
+
     def _arrival_time(self) -> float:
         """Time in seconds at which the bytes just read became readable."""
         now = self.server.now
--- a/tansycrank/http_router/http_server.py
+++ b/tansycrank/http_router/http_server.py
@@ -22,6 +22,7 @@
 # s of a process stall from which new connections are assumed to have waited in the accept queue
 MIN_STALL = 0.05
 TOP_CLIENTS = 3  # connections in the state report
+MAX_FINAL_READ_SECONDS = 0.03  # for reading and rejecting what is left when the process ends
 MAX_EXPIRY_SECONDS = 0.002  # for closing expired connections in one reactor turn
 ACCEPT_RETRY_INTERVAL = 0.02  # s between checks of a full server whether it can accept again
 
@@ -243,9 +244,9 @@
 
     def close_all(self) -> None:
         """Answer what lies unread, then close every connection once its written data was sent."""
+        until = self.now + MAX_FINAL_READ_SECONDS
         for connection in list(self.connections):
-            if connection.transport.unread_bytes:
-                connection.transport.doRead()
+            connection.read_remaining(until)
             connection.close("leaving")
 
     @property
--- a/tests/http_router/test_kept_connections.py
+++ b/tests/http_router/test_kept_connections.py
@@ -99,6 +99,18 @@
     assert status(transport.take()) == 503 and transport.over
 
 
+def test_input_that_waits_for_its_turn_at_the_last_moment_of_a_shutdown_is_answered():
+    """Guards against requests that are lost since the process ends before they are parsed."""
+    harness = RouterHarness()
+    protocol, transport = harness.client()
+    requests = [post(id=f"last{number}") for number in range(20)]
+    protocol.dataReceived(b"".join(requests))
+    assert transport.producerState == "paused"  # too much to be parsed at once
+    harness.daemon.server.stop_admitting()
+    harness.daemon.server.close_all()
+    assert transport.take().count(b"HTTP/1.1 503") == len(requests)
+
+
 def test_a_connection_that_is_closed_tells_its_client_in_the_same_turn():
     """Guards against requests that arrive after the decision to close and are never read."""
     ours, client = socket.socketpair()
