Accepting: soon again after a failure, and the wait in a long queue is known

Each failure paused accepting for 20 ms, so that some sixty connections came in a second. And the time that a connection waits was recorded from the failure on, though it may have come since the queue was last seen empty: requests kept time that had passed.

Change: accepting is tried again after 1 ms, doubled up to 20 ms while it goes on failing; where a turn leaves connections in a long queue, or accept fails, they count as waiting since the queue was last empty (the system tells when their bytes came).

Result: tests/test_listening.py, two new tests.

--- a/tansycrank/listening.py
+++ b/tansycrank/listening.py
@@ -17,7 +17,8 @@
 
 from twisted.internet import main, tcp
 
-ACCEPT_RETRY_SECONDS = 0.02
+# s until `accept` is called again after it failed: doubled from the first to the last value
+FIRST_ACCEPT_RETRY_SECONDS, LAST_ACCEPT_RETRY_SECONDS = 0.001, 0.02
 USUAL_ACCEPTS_PER_TURN = 4  # above that the accept queue counts as long
 MAX_CLOSED_PER_TURN = (
     256  # connections dropped in one reactor turn, as their client has closed them
@@ -57,6 +58,7 @@
     """A listening socket that records whether its last `accept` failed."""
 
     accept_failed = False  # whether the last `accept` failed although a connection may be waiting
+    times_accepted = 0  # how many `accept` calls returned a connection
     times_emptied = 0  # how many `accept` calls found the accept queue empty
     # Whether connections that their client has closed may be dropped unread. Not where a client may
     # send a message and close, as with PostgreSQL's CancelRequest.
@@ -90,7 +92,9 @@
     def _accept_next(self) -> tuple[socket.socket, object]:
         self.accept_failed = False
         try:
-            return super().accept()
+            accepted = super().accept()
+            self.times_accepted += 1
+            return accepted
         except OSError as error:
             self.accept_failed = error.errno not in ACCEPT_QUEUE_EMPTY
             self.times_emptied += not self.accept_failed
@@ -165,6 +169,8 @@
         """Number of connections that were dropped, as their client had closed them."""
         return self.socket.closed_unread
 
+    _emptied_at = float("-inf")  # s: when the accept queue was last seen empty
+    _retry_seconds = FIRST_ACCEPT_RETRY_SECONDS
     _waiting_since: float | None = None  # s
     _times_emptied = 0  # of the socket, when connections began to wait
 
@@ -194,12 +200,23 @@
 
     def doRead(self) -> None:
         """Accept the waiting connections; pause if an `accept` fails."""
+        emptied, accepted = self.socket.times_emptied, self.socket.times_accepted
         self.socket.start_turn()
         super().doRead()
-        if self.connected and self.accept_failed:
-            self.record_waiting(self.reactor.seconds())
+        if not self.connected:
+            return
+        accepted = self.socket.times_accepted - accepted
+        if self.socket.times_emptied > emptied:
+            self._emptied_at = self.reactor.seconds()
+        elif accepted >= USUAL_ACCEPTS_PER_TURN or self.accept_failed:
+            # more connections may wait, which came after the queue was last empty
+            self.record_waiting(self._emptied_at)
+        if accepted:
+            self._retry_seconds = FIRST_ACCEPT_RETRY_SECONDS
+        if self.accept_failed:
             self.stopReading()
-            self.reactor.callLater(ACCEPT_RETRY_SECONDS, self._resume_accepting)
+            self.reactor.callLater(self._retry_seconds, self._resume_accepting)
+            self._retry_seconds = min(2 * self._retry_seconds, LAST_ACCEPT_RETRY_SECONDS)
 
     def _resume_accepting(self) -> None:
         if self.connected:
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -1,10 +1,13 @@
 """Listening sockets whose accept queue is full of connections that nobody waits on any more."""
 
+import errno
 import socket
 
 import pytest
+from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.testing import MemoryReactorClock
 
-from tansycrank.listening import USUAL_ACCEPTS_PER_TURN, ListeningSocket
+from tansycrank.listening import USUAL_ACCEPTS_PER_TURN, ListeningSocket, PausingPort
 
 
 @pytest.fixture
@@ -56,3 +59,49 @@
     listening.start_turn()
     for _ in range(2 * USUAL_ACCEPTS_PER_TURN):
         assert listening.accept()[0].recv(5) == b"hello"
+
+
+@pytest.fixture
+def port():
+    factory = Factory.forProtocol(Protocol)
+    reactor = MemoryReactorClock()
+    one = PausingPort(0, factory, 128, "127.0.0.1", reactor)
+    one.startListening()
+    one.numberAccepts = 4
+    yield one
+    one.socket.close()
+
+
+def test_connections_that_wait_since_a_turn_accepts_few_count_as_waiting(port):
+    """Guards against requests that keep the time for which they lay in a long accept queue."""
+    port.reactor.advance(1.0)
+    port.doRead()
+    assert port.waiting_since is None
+    clients = [socket.create_connection(port.socket.getsockname()) for _ in range(12)]
+    port.reactor.advance(0.5)
+    port.doRead()
+    port.reactor.advance(0.5)
+    assert port.waiting_since == 1.0
+    for _ in range(3):
+        port.doRead()
+    assert port.waiting_since is None and len(clients) == 12
+
+
+def test_accepting_goes_on_soon_after_a_single_failure_and_later_after_each_further_one(
+    port, monkeypatch
+):
+    """Guards against a queue that is worked off at fifty connections a second."""
+
+    def fail(*_):
+        raise OSError(errno.ENOBUFS, "no buffers")
+
+    delays = []
+    monkeypatch.setattr(port.socket, "_accept", fail)
+    monkeypatch.setattr(port.reactor, "callLater", lambda delay, call: delays.append(delay))
+    for _ in range(7):
+        port.doRead()
+    assert delays == [0.001, 0.002, 0.004, 0.008, 0.016, 0.02, 0.02]
+    monkeypatch.undo()
+    socket.create_connection(port.socket.getsockname())
+    port.doRead()
+    assert port._retry_seconds == 0.001
