Accepting: a call that fails is repeated at once, six times, before it pauses accepting

Change: the listening socket calls accept again, up to six times; only the last error ends the turn.

--- a/tansycrank/listening.py
+++ b/tansycrank/listening.py
@@ -24,6 +24,7 @@
     256  # connections dropped in one reactor turn, as their client has closed them
 )
 MAX_READ_BYTES = 8192  # of one connection in a reactor turn
+ACCEPT_ATTEMPTS = 6  # of which the last one's error counts
 ACCEPT_QUEUE_EMPTY = (errno.EAGAIN, errno.EWOULDBLOCK)
 TCP_INFO_BYTES = 104
 LAST_DATA_RECEIVED = struct.Struct("=52xI")  # ms since then, in Linux's `struct tcp_info`
@@ -90,17 +91,24 @@
             connection.close()
 
     def _accept_next(self) -> tuple[socket.socket, object]:
+        """Accept a connection; a call that fails is repeated at once, a few times."""
         self.accept_failed = False
-        try:
-            accepted = super().accept()
-            self.times_accepted += 1
-            return accepted
-        except OSError as error:
-            self.accept_failed = error.errno not in ACCEPT_QUEUE_EMPTY
-            self.times_emptied += not self.accept_failed
-            if error.errno == errno.EMFILE:
-                raise OSError(errno.ENFILE, os.strerror(errno.EMFILE)) from error
-            raise
+        for attempts_left in reversed(range(ACCEPT_ATTEMPTS)):
+            try:
+                accepted = super().accept()
+            except OSError as error:
+                if error.errno in ACCEPT_QUEUE_EMPTY:
+                    self.times_emptied += 1
+                    raise
+                if not attempts_left:
+                    self.accept_failed = True
+                    if error.errno == errno.EMFILE:
+                        raise OSError(errno.ENFILE, os.strerror(errno.EMFILE)) from error
+                    raise
+            else:
+                self.times_accepted += 1
+                return accepted
+        raise AssertionError("the last attempt returns or raises")
 
 
 class ClientTransport(tcp.Server):
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -79,12 +79,28 @@
     assert port.waiting_since is None
     clients = [socket.create_connection(port.socket.getsockname()) for _ in range(12)]
     port.reactor.advance(0.5)
+    port.numberAccepts = USUAL_ACCEPTS_PER_TURN
     port.doRead()
     port.reactor.advance(0.5)
     assert port.waiting_since == 1.0
-    for _ in range(3):
-        port.doRead()
-    assert port.waiting_since is None and len(clients) == 12
+    port.numberAccepts = len(clients)
+    port.doRead()
+    assert port.waiting_since is None
+
+
+def test_a_call_that_fails_now_and_then_delays_no_connection(listening, monkeypatch):
+    """Guards against a queue that is worked off slowly while calls of the system fail."""
+    accept, failures = listening._accept, iter([True, True, False] * 9)
+
+    def fail_sometimes():
+        if next(failures):
+            raise OSError(errno.ECONNABORTED, "aborted")
+        return accept()
+
+    clients = [connect(listening, closes=False) for _ in range(9)]
+    monkeypatch.setattr(listening, "_accept", fail_sometimes)
+    accepted = [listening.accept()[0] for _ in clients]
+    assert len(accepted) == 9 and not listening.accept_failed
 
 
 def test_accepting_goes_on_soon_after_a_single_failure_and_later_after_each_further_one(
