Shutdown: the last steps keep their time though a crowd is connected and they begin late

Trace: its log ends after shutdown_started with no shutdown_completed; SIGTERM came 1.5 s into the crowd. From the last rejections to the exit 80 ms are planned and 150 are left; each of 500 connections was read (bodies that wait for memory too) and closed one by one in between, and each grace counted from the end of the step before.

Change: bodies that wait for memory are not read; connections that have had no request are left to the exit, which owes them nothing; the grace of the last answers is shortened by the time by which the rejections came late, to 20 ms at least.

--- a/tansycrank/http_router/client_connection.py
+++ b/tansycrank/http_router/client_connection.py
@@ -141,6 +141,8 @@
 
     def read_remaining(self, until: float) -> None:
         """Read and parse what is left, up to the time `until` (s): the connection will close."""
+        if not self.may_parse or self._input.waits_for_memory:
+            return
         self._input.parse(until)
         while self.may_parse and self.transport.unread_bytes and self.server.now < until:
             self.transport.doRead()
--- a/tansycrank/http_router/graceful_shutdown.py
+++ b/tansycrank/http_router/graceful_shutdown.py
@@ -12,6 +12,7 @@
 DRAIN_CHECK_INTERVAL = 0.05  # s between checks for open queries and connections
 # ms for clients to read the last answers; requests that still arrive are rejected
 FINAL_ANSWER_GRACE = 70.0
+MIN_FINAL_ANSWER_GRACE = 20.0  # ms, if the rejections came late
 # ms between closing all connections and the exit, for pending writes to complete
 FINAL_WRITE_GRACE = 10.0
 
@@ -83,7 +84,9 @@
         """Reject or fail all queries in flight before SIGKILL, leaving time to read the answers."""
         self._server.stop_admitting()
         self._coordinator.reject_all(FailureReason.STOPPING)
-        self._reactor.callLater(FINAL_ANSWER_GRACE / 1000, self._close_all)
+        late = self._coordinator.loop.now - self._coordinator.shutdown_deadline
+        grace = max(FINAL_ANSWER_GRACE - late, MIN_FINAL_ANSWER_GRACE)
+        self._reactor.callLater(grace / 1000, self._close_all)
 
     def _close_all(self) -> None:
         """Close all connections: a request read after this point could not be answered."""
--- a/tansycrank/http_router/http_server.py
+++ b/tansycrank/http_router/http_server.py
@@ -22,7 +22,7 @@
 # s of a process stall from which new connections are assumed to have waited in the accept queue
 MIN_STALL = 0.05
 TOP_CLIENTS = 3  # connections in the state report
-MAX_FINAL_READ_SECONDS = 0.03  # for reading and rejecting what is left when the process ends
+MAX_FINAL_READ_SECONDS = 0.02  # for reading and rejecting what is left when the process ends
 MAX_EXPIRY_SECONDS = 0.002  # for closing expired connections in one reactor turn
 ACCEPT_RETRY_INTERVAL = 0.02  # s between checks of a full server whether it can accept again
 
@@ -243,11 +243,16 @@
             connection.reject_unadmitted()
 
     def close_all(self) -> None:
-        """Answer what lies unread, then close every connection once its written data was sent."""
+        """Answer what lies unread, then close the connections that have had a request.
+
+        The others are owed nothing; closing a crowd of them would take the time that is left.
+        """
         until = self.now + MAX_FINAL_READ_SECONDS
         for connection in list(self.connections):
             connection.read_remaining(until)
-            connection.close("leaving")
+        for connection in list(self.connections):
+            if connection.has_completed_request:
+                connection.close("leaving")
 
     @property
     def unanswered(self) -> int:
