Time-outs and the last read: one fault stops no other time-out, and kept connections are read first

Found by reading the whole change again.

Cause: since connections expire in slices, an exception in one left the list of the others in place for good, and no later run began.

Change: an exception of one connection is logged and the next follows; kept connections are read first, and once however late it is.

Result: test_kept_connections.py, two new tests, both failed before.

--- a/tansycrank/http_router/client_connection.py
+++ b/tansycrank/http_router/client_connection.py
@@ -141,12 +141,15 @@
 
     def read_remaining(self, until: float) -> None:
         """Read and parse what is left, up to the time `until` (s): the connection will close."""
-        if not self.may_parse or self._input.waits_for_memory:
+        is_late = self.server.now >= until and not self.has_completed_request
+        if is_late or not self.may_parse or self._input.waits_for_memory:
             return
         self._input.parse(until)
-        while self.may_parse and self.transport.unread_bytes and self.server.now < until:
+        while self.may_parse and self.transport.unread_bytes:
             self.transport.doRead()
             self._input.parse(until)
+            if self.server.now >= until:
+                return
 
     def _arrival_time(self) -> float:
         """Time in seconds at which the bytes just read became readable."""
--- a/tansycrank/http_router/http_server.py
+++ b/tansycrank/http_router/http_server.py
@@ -220,11 +220,17 @@
         while self._expiring:
             connection = self._expiring.pop()
             if connection in self.connections:
-                connection.close_if_expired(started)
+                self._close_if_expired(connection, started)
             if self.now - started >= MAX_EXPIRY_SECONDS:
                 self.reactor.callLater(0, self._close_some_expired)
                 return
 
+    def _close_if_expired(self, connection: ClientConnection, now: float) -> None:
+        try:
+            connection.close_if_expired(now)
+        except Exception as error:  # the others must not lose their time-outs
+            self.log("maintenance_failed", error=repr(error), traceback=True)
+
     def accept_queued(self) -> bool:
         """Accept queued connections up to the limit; returns whether the queue is now empty.
 
@@ -248,7 +254,8 @@
         The others are owed nothing; closing a crowd of them would take the time that is left.
         """
         until = self.now + MAX_FINAL_READ_SECONDS
-        for connection in list(self.connections):
+        kept_first = sorted(self.connections, key=lambda one: not one.has_completed_request)
+        for connection in kept_first:
             connection.read_remaining(until)
         for connection in list(self.connections):
             if connection.has_completed_request:
--- a/tests/http_router/test_kept_connections.py
+++ b/tests/http_router/test_kept_connections.py
@@ -10,7 +10,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.internet.testing import MemoryReactorClock
 
-from tansycrank.http_router import client_connection, connection_eviction
+from tansycrank.http_router import client_connection, connection_eviction, http_server
 from tansycrank.listening import ClientTransport
 
 FEW_DESCRIPTORS = {"cores": 1.0, "memory_mb": 64, "sockets": 96}
@@ -111,6 +111,40 @@
     assert transport.take().count(b"HTTP/1.1 503") == len(requests)
 
 
+def test_kept_connections_are_read_at_the_last_moment_though_a_crowd_takes_the_time(monkeypatch):
+    """Guards against requests of kept connections that are lost behind a crowd at the exit."""
+    monkeypatch.setattr(http_server, "MAX_FINAL_READ_SECONDS", 0.0)
+    harness = RouterHarness()
+    protocol, transport = harness.client()
+    protocol.dataReceived(STATUS_REQUEST)
+    assert transport.take()
+
+    def read():
+        transport.unread_bytes = 0
+        protocol.dataReceived(post(id="last"))
+
+    transport.unread_bytes, transport.doRead = 100, read
+    harness.daemon.server.stop_admitting()
+    harness.daemon.server.close_all()
+    assert status(transport.take()) == 503
+
+
+def test_a_fault_in_one_time_out_leaves_the_time_outs_of_all_others():
+    """Guards against an exception that stops the time-outs of all connections for good."""
+    harness = RouterHarness()
+    (_, silent), (faulty, _) = harness.client(), harness.client()
+
+    def fail(now):
+        raise RuntimeError("injected fault")
+
+    faulty.close_if_expired = fail
+    harness.run(client_connection.REQUEST_TIMEOUT + 0.5)
+    assert silent.over
+    _, later = harness.client()
+    harness.run(client_connection.REQUEST_TIMEOUT + 0.5)
+    assert later.over
+
+
 def test_a_connection_that_is_closed_tells_its_client_in_the_same_turn():
     """Guards against requests that arrive after the decision to close and are never read."""
     ours, client = socket.socketpair()
