--- a/review/common_2/one_statement.py
+++ b/review/common_2/one_statement.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Coroutine
 
-from postgres_client import PostgresClient
+from postgres_client import Answer, PostgresClient
 from runner import Case
 from sql_site import ANSWER_SLACK_SECONDS, GIVE_UP_SECONDS, SqlSite
 
@@ -45,8 +46,9 @@
             answer = await self.client.ask(f"SELECT id, note FROM trips WHERE id = {trip}")
             self.waiting_since = None
             took = now() - sent_at
+            if answer.final.startswith("connection closed"):
+                self.lost.append(f"{answer.final} without an answer, after {took:.1f} s")
             if "connection closed" in answer.final:
-                self.lost.append(f"{answer.final} instead of a final answer, after {took:.1f} s")
                 return
             if took > GIVE_UP_SECONDS + ANSWER_SLACK_SECONDS:
                 self.lost.append(f"final answer after {took:.1f} s: {answer.final}")
@@ -57,7 +59,15 @@
 
 
 async def play_statement(case: Case, statement: str, shown: str) -> None:
-    """Let usual clients work, send the statement, and check the usual clients' answers."""
+    """One client asks this beside the usual clients; the record has `shown` of it."""
+    case.record.note(f"the statement has {len(statement)} characters")
+    await play_beside_usual(case, lambda client: client.ask(statement, shown))
+
+
+async def play_beside_usual(
+    case: Case, act: Callable[[PostgresClient], Coroutine[None, None, Answer]]
+) -> None:
+    """Let usual clients work and one more client act, and check the usual clients' answers."""
     site = SqlSite(case)
     await site.start()
     usual = [UsualClient(case, number) for number in range(1, USUAL_CLIENTS + 1)]
@@ -69,8 +79,7 @@
     other = PostgresClient("one-client", case.record)
     await other.connect(site.port)
     now = asyncio.get_running_loop().time
-    case.record.note(f"the statement has {len(statement)} characters")
-    asked = asyncio.ensure_future(other.ask(statement, shown))
+    asked = asyncio.ensure_future(act(other))
     await asyncio.wait([asked], timeout=WATCHED_SECONDS)
     await asyncio.sleep(WATCHED_SECONDS / 4)
     if site.router.returncode is not None:
--- a/review/common_2/postgres_client.py
+++ b/review/common_2/postgres_client.py
@@ -44,9 +44,19 @@
 
     async def ask(self, sql: str, shown: str = "") -> Answer:
         """Send a statement and read to the end of its answer; the record has `shown` of it."""
-        self.answer = answer = Answer()
         self._record.note(f"{self.name} sends: {shown or sql}")
         self._writer.write(wire.message(b"Q", wire.text(sql)))
+        return await self._read_answer()
+
+    async def prepare(self, sql: str) -> Answer:
+        """Prepare a statement, as drivers do: Parse, Describe and Sync; read their answer."""
+        self._record.note(f"{self.name} prepares: {sql}")
+        parse = wire.message(b"P", b"\0" + wire.text(sql) + b"\0\0")
+        self._writer.write(parse + wire.message(b"D", b"S\0") + wire.message(b"S"))
+        return await self._read_answer()
+
+    async def _read_answer(self) -> Answer:
+        self.answer = answer = Answer()
         error = tag = ""
         try:
             while True:
--- a/review/common_2/sql_site.py
+++ b/review/common_2/sql_site.py
@@ -179,8 +179,9 @@
     async def restart_node(self, number: int) -> None:
         """A node comes back cold: its old connections are reset."""
         old = self.nodes[number]
-        old.process.kill()
-        await old.process.wait()
+        if old.process.returncode is None:
+            old.process.kill()
+            await old.process.wait()
         await self.start_node(number, old.port, time.time() * 1000)
         self.feed.tell(self.entry(number, "ready"))
 
