Name the record of a case in its own script

Cause: the check of the form of review/ looks for record.txt in the folder of each case. Change: each case hands the path of its record to the runner.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -45,4 +45,4 @@
     client.close()
 
 
-run(Path(__file__).resolve().parent, play)
+run(Path(__file__).resolve().with_name("record.txt"), play)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -83,4 +83,4 @@
     site.feed.tell(site.entry(node, "gone"))
 
 
-run(Path(__file__).resolve().parent, play)
+run(Path(__file__).resolve().with_name("record.txt"), play)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -22,4 +22,4 @@
     )
 
 
-run(Path(__file__).resolve().parent, play)
+run(Path(__file__).resolve().with_name("record.txt"), play)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -20,4 +20,4 @@
     await play_beside_usual(case, lambda client: client.prepare(statement))
 
 
-run(Path(__file__).resolve().parent, play)
+run(Path(__file__).resolve().with_name("record.txt"), play)
--- a/review/common_2/record.py
+++ b/review/common_2/record.py
@@ -7,10 +7,10 @@
 
 
 class Record:
-    """Writes `record.txt` in the folder of a case; each line begins with the seconds so far."""
+    """Writes the record to a file; each line begins with the seconds so far."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("w", encoding="utf-8")
         self._began = time.monotonic()
 
     @property
--- a/review/common_2/runner.py
+++ b/review/common_2/runner.py
@@ -1,4 +1,4 @@
-"""Runs a case: its folder, its processes, its limit of time and its exit status."""
+"""Runs a case: its record, its processes, its limit of time and its exit status."""
 
 from __future__ import annotations
 
@@ -23,15 +23,12 @@
 
 
 class Case:
-    """One run of a case; `has_trouble` is false with TROUBLE=0 in the environment.
+    """One run of a case; `has_trouble` is false with TROUBLE=0 in the environment."""
 
-    A line of standard output of a stand-in process is noted in the record and kept in `lines`.
-    """
-
-    def __init__(self, folder: Path, work: Path) -> None:
+    def __init__(self, record: Path, work: Path) -> None:
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
         self.work = work  # a temporary folder
-        self.record = Record(folder)
+        self.record = Record(record)
         self.breaks: list[str] = []
         self._processes: list[asyncio.subprocess.Process] = []
         self._tasks: list[asyncio.Task] = []
@@ -83,9 +80,9 @@
         await asyncio.sleep(0)  # connections that were closed are let go
 
 
-async def _play(folder: Path, play: Callable[[Case], Awaitable[None]]) -> int:
+async def _play(record: Path, play: Callable[[Case], Awaitable[None]]) -> int:
     with tempfile.TemporaryDirectory(prefix="tansycrank-review-") as work:
-        case = Case(folder, Path(work))
+        case = Case(record, Path(work))
         try:
             await asyncio.wait_for(play(case), RUN_SECONDS)
             status = EXIT_BROKEN if case.breaks else EXIT_HELD
@@ -98,10 +95,10 @@
         words = {EXIT_HELD: "held", EXIT_BROKEN: "broken", EXIT_COULD_NOT_RUN: "could not run"}
         case.record.note(f"the rule: {words[status]}")
         case.record.close()
-        print(f"{folder.name}: {words[status]}", *case.breaks, sep="\n  ")
+        print(f"{record.parent.name}: {words[status]}", *case.breaks, sep="\n  ")
         return status
 
 
-def run(folder: Path, play: Callable[[Case], Awaitable[None]]) -> None:
-    """Run a case and exit with its status."""
-    sys.exit(asyncio.run(_play(folder, play)))
+def run(record: Path, play: Callable[[Case], Awaitable[None]]) -> None:
+    """Run a case with its record in this file, and exit with its status."""
+    sys.exit(asyncio.run(_play(record, play)))
