--- a/review/6/case.py
+++ b/review/6/case.py
@@ -36,7 +36,8 @@
             break
         if case.has_trouble and client.answer.byte_count >= BYTES_BEFORE_SILENCE:
             silenced = streaming_node(site)
-            break
+            if silenced is not None:
+                break
     if silenced is not None:
         silent_at = now()
         site.nodes[silenced].process.send_signal(signal.SIGSTOP)
@@ -60,12 +61,14 @@
             case.broken(f"no final answer within {STREAM_SECONDS} s")
         return
     answer = asked.result()
+    if silenced is None and case.has_trouble:
+        raise RuntimeError("the answer was over before its node could go silent")
     if silenced is None and not answer.final.startswith("answered"):
         raise RuntimeError(f"not answered without trouble: {answer.final}")
 
 
-def streaming_node(site: SqlSite) -> int:
-    """The node whose statement on the history has begun and not ended."""
+def streaming_node(site: SqlSite) -> int | None:
+    """The only node whose statement on the history has begun and not ended; None beside a hedge."""
     running = {}
     for event in site.events:
         key = event["node"], event.get("session")
@@ -73,8 +76,8 @@
             running[key] = event["node"]
         elif event["event"] in ("done", "cancelled"):
             running.pop(key, None)
-    (node,) = set(running.values())
-    return node
+    nodes = set(running.values())
+    return nodes.pop() if len(nodes) == 1 else None
 
 
 async def tell_gone(site: SqlSite, node: int) -> None:
--- a/review/common_2/one_statement.py
+++ b/review/common_2/one_statement.py
@@ -14,7 +14,8 @@
 from sql_site import ANSWER_SLACK_SECONDS, GIVE_UP_SECONDS, SqlSite
 
 USUAL_CLIENTS = 6
-QUIET_SECONDS = 2.0  # before the statement
+ANSWERS_BEFORE = 100  # of the usual clients, before the statement
+START_SECONDS = 30.0  # in which they have to come
 PAUSE_SECONDS = 0.1  # of a usual client between an answer and its next statement
 WATCHED_SECONDS = 20.0  # after the statement
 
@@ -73,7 +74,7 @@
     usual = [UsualClient(case, number) for number in range(1, USUAL_CLIENTS + 1)]
     for one in usual:
         case.background(one.work(site.port))
-    await asyncio.sleep(QUIET_SECONDS)
+    await asyncio.wait_for(_until_answered(usual), START_SECONDS)
     if any(one.lost or not one.answered for one in usual):
         raise RuntimeError("usual clients are not answered before the statement is sent")
     other = PostgresClient("one-client", case.record)
@@ -93,3 +94,8 @@
     case.record.note(f"usual clients were answered {sum(one.answered for one in usual)} times")
     asked.cancel()
     other.close()
+
+
+async def _until_answered(usual: list[UsualClient]) -> None:
+    while sum(one.answered for one in usual) < ANSWERS_BEFORE:
+        await asyncio.sleep(0.05)
--- a/review/common_2/platform_site.py
+++ b/review/common_2/platform_site.py
@@ -118,6 +118,7 @@
         self.number, self.port = number, 0
         self.parts: list[Part] = []
         self._case, self._reply = case, reply
+        self._spoilt: set[asyncio.StreamWriter] = set()  # connections of no further use
 
     async def listen(self) -> None:
         """Serve on loopback."""
@@ -147,11 +148,18 @@
         except (OSError, asyncio.IncompleteReadError):
             pass  # the router closed the connection
         finally:
+            self._spoilt.discard(writer)
             writer.close()
 
     async def _answer(self, part: Part, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(WORK_SECONDS)
-        writer.write(self._reply(part, answer_frame(part)))
+        if writer in self._spoilt:
+            return
+        good = answer_frame(part)
+        written = self._reply(part, good)
+        if written != good:
+            self._spoilt.add(writer)
+        writer.write(written)
 
 
 class Discovery:
