--- a/tansycrank/http_router/close_log.py
+++ b/tansycrank/http_router/close_log.py
@@ -8,8 +8,9 @@
 from enum import Enum
 from typing import Protocol
 
+from tansycrank.log_rate import LogRateLimiter
+
 MAX_LINES_PER_SECOND = 3  # per reason
-RATE_WINDOW = 1.0  # s
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,15 +62,10 @@
     def __init__(self, log: Callable[..., None]) -> None:
         self.counts: Counter[str] = Counter()
         self._log = log
-        self._lines: Counter[str] = Counter()
-        self._window_start = float("-inf")  # s
+        self._rate = LogRateLimiter(MAX_LINES_PER_SECOND)
 
     def record(self, connection: ReportedConnection, reason: str, now: float) -> None:
         """Count and log a close at `now` (s)."""
         self.counts[reason] += 1
-        if now - self._window_start >= RATE_WINDOW:
-            self._window_start = now
-            self._lines.clear()
-        self._lines[reason] += 1
-        if self._lines[reason] <= MAX_LINES_PER_SECOND:
+        if self._rate.allows(reason, now):
             self._log("client_connection_closed", **asdict(describe(connection, reason, now)))
--- a/tansycrank/http_router/failure_log.py
+++ b/tansycrank/http_router/failure_log.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable
 
 from tansycrank.lifecycle import AnswerKind, Query
+from tansycrank.log_rate import LogRateLimiter
 from tansycrank.routing import FailureReason
 
 # Per kind of answer. An overload rejects hundreds of queries per second; logging all adds load.
 MAX_LINES_PER_SECOND = 5
-RATE_WINDOW = 1000.0  # ms
 
 
 class FailureLog:
@@ -22,17 +22,12 @@
     def __init__(self, log: Callable[..., None]) -> None:
         self._log = log
         self.counts: Counter[FailureReason] = Counter()
-        self._lines_logged: Counter[AnswerKind] = Counter()
-        self._window_start = float("-inf")  # ms: start of the current rate window
+        self._rate = LogRateLimiter(MAX_LINES_PER_SECOND)
 
     def record(self, query: Query, answer: AnswerKind, reason: FailureReason, now: float) -> None:
         """Record a rejected or failed query; `now` is the monotonic time in ms."""
         self.counts[reason] += 1
-        if now - self._window_start >= RATE_WINDOW:
-            self._window_start = now
-            self._lines_logged.clear()
-        if self._lines_logged[answer] < MAX_LINES_PER_SECOND:
-            self._lines_logged[answer] += 1
+        if self._rate.allows(answer, now / 1000):
             self._log(
                 "query_rejected_or_failed",
                 request=query.name,
--- a/tansycrank/http_router/frames.py
+++ b/tansycrank/http_router/frames.py
@@ -19,6 +19,8 @@
 
 OUTCOMES = {b"ok": Outcome.SUCCEEDED, b"err": Outcome.ERROR, b"busy": Outcome.REJECTED}
 ANSWER_LINE = re.compile(rb"([0-9A-Za-z_-]+\.[0-9]+) (ok|err|busy) (\S+) (\S*)")
+# The beginning of an answer within a value, behind the last byte of its length, which is 0.
+EMBEDDED_ANSWER = re.compile(rb"\0A[0-9A-Za-z_-]++\.[0-9]++ (?:ok|err|busy) ")
 
 
 class FrameError(TansycrankError):
@@ -64,6 +66,11 @@
     return _encode_frame(b"X", id)
 
 
+def answer_start(id: bytes) -> bytes:
+    """Return the bytes with which an answer to this id begins, behind its length."""
+    return b"A" + id + b" "
+
+
 class FrameReader:
     """Decodes a byte stream into records, buffering at most the unfinished frame."""
 
@@ -80,6 +87,18 @@
         """Number of buffered bytes of an unfinished frame."""
         return len(self._buffer)
 
+    @property
+    def buffered(self) -> bytes:
+        """The bytes behind the last record."""
+        return bytes(self._buffer)
+
+    @property
+    def may_begin_frame(self) -> bool:
+        """Whether the buffered bytes, less than a header, may be the beginning of a frame."""
+        missing = bytes(LENGTH_BYTES - len(self._buffer[:LENGTH_BYTES]))
+        least_size = int.from_bytes(self._buffer[:LENGTH_BYTES] + missing, "little")
+        return least_size <= MAX_FRAME_BYTES
+
     @property
     def partial_answer_id(self) -> bytes:
         """The id in an unfinished answer; empty if it has not arrived completely."""
@@ -101,11 +120,12 @@
                 self._check_line_length(frame_type)
                 return
             body = bytes(self._buffer[HEADER_BYTES:end])
-            del self._buffer[:end]
             if frame_type == b"A":
-                yield _decode_answer(body)
+                record = _decode_answer(body)
             else:
-                yield FrameRejected(body[:200].decode("utf-8", "replace"))
+                record = FrameRejected(body[:200].decode("utf-8", "replace"))
+            del self._buffer[:end]
+            yield record
 
     @staticmethod
     def _check_header(size: int, frame_type: bytes) -> None:
@@ -116,8 +136,10 @@
 
     def _check_line_length(self, frame_type: bytes) -> None:
         """Reject an unfinished answer whose first line is already too long."""
-        is_too_long = len(self._buffer) > HEADER_BYTES + MAX_LINE_BYTES
-        if frame_type == b"A" and is_too_long and b"\n" not in self._buffer[HEADER_BYTES:]:
+        line_limit = HEADER_BYTES + MAX_LINE_BYTES
+        if frame_type != b"A" or len(self._buffer) <= line_limit:
+            return
+        if self._buffer.find(b"\n", HEADER_BYTES, line_limit + 1) < 0:
             raise FrameError("first line of an answer too long")
 
 
@@ -139,6 +161,8 @@
     if match is None:
         raise FrameError(f"malformed answer line {line[:60]!r}")
     id, status, _score, load_report = match.groups()
+    if EMBEDDED_ANSWER.search(value):
+        raise FrameError("an answer whose length includes another one")
     try:
         text = value.decode()
     except UnicodeDecodeError as error:
--- a/tansycrank/listening.py
+++ b/tansycrank/listening.py
@@ -111,6 +111,15 @@
         raise AssertionError("the last attempt returns or raises")
 
 
+def unread_bytes(connection: socket.socket) -> int:
+    """Number of received bytes that wait in the kernel; 0 if it does not report it."""
+    try:
+        result = fcntl.ioctl(connection, termios.FIONREAD, bytes(UNREAD_BYTES.size))
+    except OSError:
+        return 0
+    return UNREAD_BYTES.unpack(result)[0]
+
+
 class ClientTransport(tcp.Server):
     """The transport of an accepted connection."""
 
@@ -122,11 +131,7 @@
     @property
     def unread_bytes(self) -> int:
         """Number of received bytes that wait in the kernel; 0 if it does not report it."""
-        try:
-            result = fcntl.ioctl(self.socket, termios.FIONREAD, bytes(UNREAD_BYTES.size))
-        except OSError:
-            return 0
-        return UNREAD_BYTES.unpack(result)[0]
+        return unread_bytes(self.socket)
 
     @property
     def has_peer_closed(self) -> bool:
