Numbers and arrays of clients cost what their bytes cost

Cause: numbers were expanded to all their digits before their range was checked (quadratic conversion), and array elements became objects before they were counted.

--- a/tansycrank/postgres/types/__init__.py
+++ b/tansycrank/postgres/types/__init__.py
@@ -12,6 +12,15 @@
     decoder,
     encode,
 )
+from tansycrank.postgres.types.number_ranges import (
+    INTEGER_RANGES,
+    check_integer,
+    parse_integer,
+    parse_numeric,
+    shortened,
+    to_integer,
+    whole_number,
+)
 from tansycrank.postgres.types.oids import (
     ARRAY_ELEMENTS,
     ARRAY_TYPES,
@@ -60,6 +69,7 @@
     "INT2",
     "INT4",
     "INT8",
+    "INTEGER_RANGES",
     "INTEGER_TYPES",
     "JSON",
     "JSONB",
@@ -77,9 +87,15 @@
     "UUID",
     "VARCHAR",
     "Decimal",
+    "check_integer",
     "decode",
     "decoder",
     "encode",
     "order_key",
+    "parse_integer",
+    "parse_numeric",
+    "shortened",
+    "to_integer",
     "type_name",
+    "whole_number",
 ]
--- a/tansycrank/postgres/types/arrays.py
+++ b/tansycrank/postgres/types/arrays.py
@@ -7,69 +7,98 @@
 import struct
 from collections.abc import Callable
 
+from tansycrank.postgres.errors import TOO_LARGE, PgError
+from tansycrank.postgres.types.oids import INT2, INT4, INT8
+
 MAX_DIMENSIONS = 6
+MAX_ELEMENTS = 100_000  # of an array that is read one by one
 NULL_ELEMENT = b"\xff\xff\xff\xff"
+HEADER = struct.Struct("!iiI")  # number of dimensions, whether there are NULLs, element type
+DIMENSION = struct.Struct("!ii")  # size, lower bound
+LENGTH_BYTES = 4  # of the length before each element
+INTEGER_ELEMENTS = {  # by type: length and value of an element in binary format
+    INT2: struct.Struct("!ih"),
+    INT4: struct.Struct("!ii"),
+    INT8: struct.Struct("!iq"),
+}
+# A quoted string, a brace, a comma, or the text between them; nothing is tried twice.
+TOKEN = re.compile(r'"(?:[^"\\]++|\\.)*+"?|[{},]|[^{},"]++', re.S)
+NEEDS_PARSING = re.compile(r'[{}"\\]')
 NEEDS_QUOTES = re.compile(r'[{}",\\\s]')
 
 
 class ArrayTextParser:
-    """Parses `{...}` with nested arrays, quoted elements and NULL. Raises ValueError."""
+    """Parses `{...}` with nested arrays, quoted elements and NULL.
+
+    `parse_element` reads the text of an element, `parse_many` those of many at once, if given: then
+    a flat array may have any number of elements.
+    """
 
-    def __init__(self, decode_element: Callable[[bytes], object]) -> None:
-        self._decode_element = decode_element
+    def __init__(
+        self,
+        parse_element: Callable[[str], object],
+        parse_many: Callable[[list[str]], list] | None = None,
+    ) -> None:
+        self._parse_element, self._parse_many = parse_element, parse_many
         self._stack: list[list] = [[]]
         self._element: list[str] = []
-        self._is_quoted = False  # inside quotes
         self._was_quoted = False  # the element has quotes, so it is not NULL
 
     def parse(self, text: str) -> list:
         """Returns the elements, nested arrays as lists.
 
-        Raises ValueError, or IndexError if the text ends in an incomplete escape sequence.
+        Raises ValueError, or PgError 54000 for more than `MAX_ELEMENTS`.
         """
         if text.startswith("["):  # explicit bounds
-            text = text.split("=", 1)[1]
-        position = 0
-        while position < len(text):
-            char = text[position]
-            if self._is_quoted and char == "\\":
-                position += 1
-                self._element.append(text[position])
-            elif self._is_quoted:
-                self._read_quoted(char)
-            else:
-                self._read_plain(char)
-            position += 1
-        if len(self._stack) != 1 or len(self._stack[0]) != 1 or self._is_quoted:
+            text = text.partition("=")[2]
+        if not text.startswith("{"):
+            raise ValueError("an array begins with a brace")
+        if not NEEDS_PARSING.search(text, 1, len(text) - 1) and text.endswith("}"):
+            return self._parse_plain(text[1:-1])
+        _check_count(text.count(",") + text.count("{"))
+        for token in TOKEN.findall(text):
+            self._read(token)
+        if len(self._stack) != 1 or len(self._stack[0]) != 1 or self._element:
             raise ValueError("unbalanced braces")
         return self._stack[0][0]
 
-    def _read_quoted(self, char: str) -> None:
-        if char == '"':
-            self._is_quoted = False
-        else:
-            self._element.append(char)
-
-    def _read_plain(self, char: str) -> None:
-        if char == '"':
-            self._is_quoted = self._was_quoted = True
-        elif char == "{":
+    def _parse_plain(self, elements: str) -> list:
+        """Parses an array without quotes, escapes and nested arrays."""
+        found = list(filter(None, map(str.strip, elements.split(","))))
+        if self._parse_many is not None and "null" not in elements.lower():
+            return self._parse_many(found)
+        _check_count(len(found))
+        return [self._parse(element) for element in found]
+
+    def _read(self, token: str) -> None:
+        if token == "{":
+            if len(self._stack) > MAX_DIMENSIONS:
+                raise ValueError(f"more than {MAX_DIMENSIONS} dimensions")
             self._stack.append([])
-        elif char in ",}":
+        elif token in (",", "}"):
             self._end_element()
-            if char == "}":
+            if token == "}":
                 self._end_array()
-        elif not char.isspace() or self._element:
-            self._element.append(char)
+        elif token.startswith('"'):
+            if len(token) < 2 or not token.endswith('"'):
+                raise ValueError("unbalanced quotes")
+            self._was_quoted = True
+            self._element.append(_without_escapes(token[1:-1]))
+        elif self._element or not token.isspace():
+            self._element.append(token if self._element else token.lstrip())
 
     def _end_element(self) -> None:
         raw = "".join(self._element)
-        if raw or self._was_quoted:
-            is_null = not self._was_quoted and raw.upper() == "NULL"
-            self._stack[-1].append(None if is_null else self._decode_element(raw.encode()))
+        if self._was_quoted:
+            self._stack[-1].append(self._parse_element(raw))
+        elif raw:
+            self._stack[-1].append(self._parse(raw))
         self._element.clear()
         self._was_quoted = False
 
+    def _parse(self, raw: str) -> object:
+        return None if raw.upper() == "NULL" else self._parse_element(raw)
+
     def _end_array(self) -> None:
         if len(self._stack) < 2:
             raise ValueError("unbalanced braces")
@@ -77,6 +106,16 @@
         self._stack[-1].append(array)
 
 
+def _check_count(count: int) -> None:
+    if count > MAX_ELEMENTS:
+        raise PgError(TOO_LARGE, f"an array of over {MAX_ELEMENTS} elements")
+
+
+def _without_escapes(text: str) -> str:
+    """Returns a quoted text in which a backslash stands for what follows it."""
+    return "\\".join(part.replace("\\", "") for part in text.split("\\\\"))
+
+
 def format_array(values: list, encode_element: Callable[[object], bytes]) -> str:
     """Encodes an array in text format."""
     parts = []
@@ -96,16 +135,30 @@
     return '"' + text.replace("\\", "\\\\").replace('"', '\\"') + '"'
 
 
-def decode_array(data: bytes, decode_element: Callable[[int, bytes], object]) -> list:
-    """Decodes an array in binary format.
+def decode_array(data: bytes, element_oid: int, decode_element: Callable[[bytes], object]) -> list:
+    """Decodes an array with elements of this type in binary format.
 
-    `decode_element` receives the element type OID and the bytes. Raises ValueError or struct.error.
+    A flat array of integers may have any number of elements. Raises ValueError, struct.error, or
+    PgError 54000 for more than `MAX_ELEMENTS`.
     """
-    dimensions, _, element_oid = struct.unpack_from("!iiI", data)
-    sizes = [struct.unpack_from("!ii", data, 12 + 8 * i)[0] for i in range(dimensions)]
-    position = 12 + 8 * dimensions
-    if dimensions > MAX_DIMENSIONS or math.prod(sizes or [0]) > len(data):
+    dimensions, _, stated_oid = HEADER.unpack_from(data)
+    if not 0 <= dimensions <= MAX_DIMENSIONS:
+        raise ValueError(f"{dimensions} dimensions; allowed {MAX_DIMENSIONS}")
+    if stated_oid != element_oid:  # also keeps arrays from being elements, at any depth
+        raise ValueError(f"elements of type {stated_oid}; expected {element_oid}")
+    sizes = [
+        DIMENSION.unpack_from(data, HEADER.size + DIMENSION.size * i)[0] for i in range(dimensions)
+    ]
+    position = HEADER.size + DIMENSION.size * dimensions
+    if min(sizes, default=0) < 0 or math.prod(sizes) > len(data):
         raise ValueError("more elements than bytes")
+    if 0 in sizes:
+        return []
+    if dimensions == 1 and element_oid in INTEGER_ELEMENTS:
+        integers = _decode_integers(INTEGER_ELEMENTS[element_oid], data, position, sizes[0])
+        if integers is not None:
+            return integers
+    _check_count(math.prod(sizes))
 
     def read_level(depth: int) -> list:
         nonlocal position
@@ -117,13 +170,29 @@
             size = struct.unpack_from("!i", data, position)[0]
             position += 4
             raw = data[position : position + size]
-            values.append(None if size < 0 else decode_element(element_oid, raw))
+            values.append(None if size < 0 else decode_element(raw))
             position += max(size, 0)
         return values
 
     return read_level(0) if dimensions else []
 
 
+def _decode_integers(
+    element: struct.Struct, data: bytes, position: int, count: int
+) -> list[int] | None:
+    """Decodes a flat array of integers at once; None if one is NULL or has another length."""
+    end = position + count * element.size
+    if end > len(data):
+        return None
+    length = element.size - LENGTH_BYTES
+    values = []
+    for size, value in element.iter_unpack(memoryview(data)[position:end]):
+        if size != length:
+            return None
+        values.append(value)
+    return values
+
+
 def encode_array(
     values: list, element_oid: int, encode_element: Callable[[object], bytes]
 ) -> bytes:
@@ -135,8 +204,8 @@
     flat = values
     for _ in sizes[1:]:
         flat = [value for inner in flat for value in inner]
-    head = struct.pack("!iiI", len(sizes), int(None in flat), element_oid)
-    body = [struct.pack("!ii", size, 1) for size in sizes]
+    head = HEADER.pack(len(sizes), int(None in flat), element_oid)
+    body = [DIMENSION.pack(size, 1) for size in sizes]
     for value in flat:
         raw = None if value is None else encode_element(value)
         body.append(NULL_ELEMENT if raw is None else struct.pack("!i", len(raw)) + raw)
--- a/tansycrank/postgres/types/binary_format.py
+++ b/tansycrank/postgres/types/binary_format.py
@@ -35,6 +35,7 @@
     FLOAT8: struct.Struct("!d"),
     OID: struct.Struct("!I"),
 }
+UUID_BYTES = 16
 DATE_BITS = 32
 TIMESTAMP_BITS = 64
 JSONB_VERSION = b"\x01"
@@ -50,6 +51,8 @@
         return _from_infinite(struct.unpack("!i", data)[0], DATE_BITS)
     if oid in (TIMESTAMP, TIMESTAMPTZ):
         return _from_infinite(struct.unpack("!q", data)[0], TIMESTAMP_BITS)
+    if oid == UUID and len(data) != UUID_BYTES:
+        raise ValueError(f"a uuid of {len(data)} bytes")
     if oid in (BYTEA, UUID):
         return data
     if oid == JSONB:
--- a/tansycrank/postgres/types/codec.py
+++ b/tansycrank/postgres/types/codec.py
@@ -4,7 +4,8 @@
 
 import struct
 from collections.abc import Callable
-from decimal import Decimal, InvalidOperation
+from decimal import InvalidOperation
+from functools import partial
 
 from tansycrank.postgres.errors import INVALID_BINARY, INVALID_TEXT, PgError
 from tansycrank.postgres.types import binary_format, text_format
@@ -14,6 +15,7 @@
     encode_array,
     format_array,
 )
+from tansycrank.postgres.types.number_ranges import parse_integers, parse_numeric
 from tansycrank.postgres.types.oids import ARRAY_ELEMENTS, INTEGER_TYPES, NUMERIC, type_name
 
 TEXT_CODE = 0
@@ -27,7 +29,8 @@
         if code == TEXT_CODE:
             return _decode_text(oid, data.decode())
         if oid in ARRAY_ELEMENTS:
-            return decode_array(data, lambda element, raw: decode(element, BINARY_CODE, raw))
+            element = ARRAY_ELEMENTS[oid]
+            return decode_array(data, element, partial(decode, element, BINARY_CODE))
         return binary_format.decode_value(oid, data)
     except (ValueError, struct.error, InvalidOperation, IndexError, OverflowError):
         state = INVALID_BINARY if code else INVALID_TEXT
@@ -38,7 +41,8 @@
 def _decode_text(oid: int, text: str) -> object:
     if oid in ARRAY_ELEMENTS:
         element = ARRAY_ELEMENTS[oid]
-        return ArrayTextParser(lambda raw: decode(element, TEXT_CODE, raw)).parse(text)
+        parse_many = partial(parse_integers, element) if element in INTEGER_TYPES else None
+        return ArrayTextParser(partial(text_format.parse_value, element), parse_many).parse(text)
     return text_format.parse_value(oid, text)
 
 
@@ -50,7 +54,7 @@
     if code == TEXT_CODE and oid in INTEGER_TYPES:
         return int
     if code == TEXT_CODE and oid == NUMERIC:
-        return lambda data: Decimal(data.decode())
+        return lambda data: parse_numeric(data.decode())
     return lambda data: decode(oid, code, data)
 
 
--- a/tansycrank/postgres/types/text_format.py
+++ b/tansycrank/postgres/types/text_format.py
@@ -8,7 +8,9 @@
 import uuid as uuid_module
 from collections.abc import Callable
 from decimal import Decimal
+from functools import partial
 
+from tansycrank.postgres.types.number_ranges import parse_integer, parse_numeric
 from tansycrank.postgres.types.oids import (
     BOOL,
     BYTEA,
@@ -31,6 +33,9 @@
     parse_timestamp,
 )
 
+BYTE_ESCAPE = re.compile(rb"\\(\\|[0-7]{3})")  # of bytea in its escape format
+OCTAL_ESCAPE = re.compile(rb"\\[0-7]{3}")
+
 
 def _parse_bool(text: str) -> bool:
     lowered = text.strip().lower()
@@ -48,23 +53,22 @@
 def _parse_bytea(text: str) -> bytes:
     if text.startswith("\\x"):
         return bytes.fromhex(text[2:])
-    return re.sub(
-        rb"\\(\\|[0-7]{3})",
-        lambda m: b"\\" if m[1] == b"\\" else bytes([int(m[1], 8)]),
-        text.encode(),
-    )
+    data = text.encode()
+    if not OCTAL_ESCAPE.search(data):
+        return data.replace(b"\\\\", b"\\")
+    return BYTE_ESCAPE.sub(lambda m: b"\\" if m[1] == b"\\" else bytes([int(m[1], 8)]), data)
 
 
 PARSERS: dict[int, Callable[[str], object]] = {
     BOOL: _parse_bool,
     BYTEA: _parse_bytea,
-    INT2: int,
-    INT4: int,
-    INT8: int,
-    OID: int,
+    INT2: partial(parse_integer, INT2),
+    INT4: partial(parse_integer, INT4),
+    INT8: partial(parse_integer, INT8),
+    OID: partial(parse_integer, OID),
     FLOAT4: float,
     FLOAT8: float,
-    NUMERIC: Decimal,
+    NUMERIC: parse_numeric,
     DATE: parse_date,
     TIMESTAMP: lambda text: parse_timestamp(text, False),
     TIMESTAMPTZ: lambda text: parse_timestamp(text, True),
