--- a/tansycrank/admission/controller.py
+++ b/tansycrank/admission/controller.py
@@ -8,6 +8,7 @@
 
 import math
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -29,6 +30,7 @@
     PgError,
     cancelled,
     retry_after,
+    unexpected_error,
 )
 
 TICK_INTERVAL_SECONDS = 0.05  # interval of the periodic tick while any query is open
@@ -230,7 +232,11 @@
     def _admit(self, entry: AdmissionEntry, now: float) -> None:
         entry.is_admitted, entry.admitted_at = True, now
         remaining = max(entry.deadline - now, 1.0)
-        entry.handle = entry.start(remaining, lambda outcome: self._ended(entry, outcome))
+        try:
+            entry.handle = entry.start(remaining, lambda outcome: self._ended(entry, outcome))
+        except Exception as error:  # the step that admits it may belong to another query
+            self._log_fault(error)
+            self._ended(entry, unexpected_error(error))
 
     def _reject(self, number: int, wait: float, reason: str, corrected: bool) -> None:
         entry = self.entries.get(number)
@@ -262,7 +268,20 @@
         if not entry.is_ended:
             entry.is_ended = True
             self.entries.pop(entry.id, None)
+            self._report(entry, outcome)
+
+    def _report(self, entry: AdmissionEntry, outcome: Any) -> None:
+        """Pass its outcome to the client of a query; an exception concerns that client alone."""
+        try:
             entry.done(outcome)
+        except Exception as error:
+            self._log_fault(error)
+            with suppress(Exception):  # it has been told already, or cannot be told
+                entry.done(unexpected_error(error))
+
+    def _log_fault(self, error: Exception) -> None:
+        if self.log:
+            self.log.error("action_failed", action="admission", error=repr(error))
 
     # --- timers -------------------------------------------------------------------------------
 
--- a/tansycrank/admission/reader_scheduler.py
+++ b/tansycrank/admission/reader_scheduler.py
@@ -32,9 +32,13 @@
     """
 
     def __init__(
-        self, call_soon: Callable[[Callable[[], None]], object], clock: Callable[[], float]
+        self,
+        call_soon: Callable[[Callable[[], None]], object],
+        clock: Callable[[], float],
+        on_fault: Callable[[Exception], None] = lambda error: None,
     ) -> None:
-        self._call_soon, self._clock = call_soon, clock
+        """`on_fault` is called with an exception that a session raised, to log it."""
+        self._call_soon, self._clock, self._on_fault = call_soon, clock, on_fault
         self._scheduler = FairScheduler()
         self._used_seconds = 0.0
         self._is_turn_scheduled = False
@@ -64,9 +68,15 @@
             self._call_soon(self._on_turn)
 
     def _read_timed(self, reader: Reader) -> float:
-        """Let a session read its messages; returns the seconds taken."""
+        """Let a session read its messages; returns the seconds taken.
+
+        An exception must not keep other sessions from being read.
+        """
         began = self._clock()
-        reader.read_pending()
+        try:
+            reader.read_pending()
+        except Exception as error:
+            self._on_fault(error)
         return max(self._clock() - began, 0.0)
 
     def remove(self, reader: Reader, tenant: str) -> None:
--- a/tansycrank/config/sections.py
+++ b/tansycrank/config/sections.py
@@ -51,6 +51,7 @@
     max_sessions: PositiveInt = 2000
     max_message: Annotated[int, Meta(ge=1024)] = 4_194_304
     max_statement: Annotated[int, Meta(ge=64)] = 262_144
+    max_tokens: Annotated[int, Meta(ge=1000, le=100_000)] = 10_000  # of a statement
     max_prepared: PositiveInt = 256
     max_portals: PositiveInt = 64
     max_pending: Annotated[int, Meta(ge=1024)] = 1_048_576
@@ -74,6 +75,8 @@
     connect_timeout_ms: PositiveMs = 1000.0
     cancel_grace_ms: PositiveMs = 500.0
     idle_link_ms: PositiveMs = 300000.0
+    # longest wait for the next row of an answer that is streamed; 0: the statement's own time
+    row_wait_ms: NonNegativeMs = 0.0
 
 
 class MergeSection(Section):
--- a/tansycrank/daemon.py
+++ b/tansycrank/daemon.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 import sys
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -90,6 +91,7 @@
             self._on_policy_failed,
         )
         self.coordinator.on_violation = self._on_violation
+        self.coordinator.on_fault = self._on_fault
         source_type = FeedClient if config.roster.feed else EndpointFile
         self.endpoint_source = source_type(
             reactor, config, self.pools, self.coordinator.handle_endpoint_list, log
@@ -142,6 +144,18 @@
             self.log.critical("policy_failed", error=repr(error), exc_info=error)
         self.stop_now()
 
+    def _on_fault(self, action: str, error: Exception) -> None:
+        """Log an exception that concerns one query or session."""
+        if self.log:
+            self.log.error("action_failed", action=action, error=repr(error), exc_info=error)
+
+    def _guarded(self, function: Callable[..., None], *args: object) -> None:
+        """Call a function on behalf of one query or session; an exception stops no other."""
+        try:
+            function(*args)
+        except Exception as error:
+            self._on_fault(function.__name__, error)
+
     def _on_violation(self, violation: Violation) -> None:
         if self.log:
             self.log.error(
@@ -163,14 +177,14 @@
                 queries=len(self.coordinator.queries),
             )
         self.port.stopListening()
-        self.server.drain_sessions()
+        self._guarded(self.server.drain_sessions)
         self._drain(self.reactor.seconds() + self.config.router.stop_within_ms / 1000)
 
     def _drain(self, shutdown_deadline: float) -> None:
         busy = self.coordinator.queries or any(s.is_logged_in for s in self.server.sessions)
         if busy and self.reactor.seconds() < shutdown_deadline:
-            self.server.drain_sessions()
             self.reactor.callLater(0.02, self._drain, shutdown_deadline)
+            self._guarded(self.server.drain_sessions)
         else:
             self.stop_now()
 
@@ -179,11 +193,11 @@
         if self.stopped:
             return
         self.stopped = True
-        self.service.admission.close(PgError(SHUTTING_DOWN, "the router is shutting down"))
+        self._guarded(self.service.admission.close, shutting_down())
         for query in list(self.coordinator.queries.values()):
-            self.coordinator.abandon(query, PgError(SHUTTING_DOWN, "the router is shutting down"))
+            self._guarded(self.coordinator.abandon, query, shutting_down())
         for session in list(self.server.sessions):
-            session.shut_down()
+            self._guarded(session.shut_down)
         self.coordinator.lifecycle.stop(self.coordinator.now)
         self.coordinator.stop()
         self.endpoint_source.stop()
@@ -192,9 +206,9 @@
         self.reactor.callLater(0.1, self._finish)
 
     def _finish(self) -> None:
-        self.pools.close()
+        self._guarded(self.pools.close)
         for session in list(self.server.sessions):
-            session.transport.abortConnection()
+            self._guarded(session.transport.abortConnection)
         if self.log:
             lifecycle = self.coordinator.lifecycle
             given_up = {reason.name.lower(): n for reason, n in self.coordinator.given_up.items()}
@@ -207,6 +221,11 @@
         self.on_stopped()
 
 
+def shutting_down() -> PgError:
+    """Return the error of a query that the shutdown ends."""
+    return PgError(SHUTTING_DOWN, "the router is shutting down")
+
+
 def run(config: Config, announce: bool = False) -> int:
     """Run one router until SIGTERM or SIGINT and return the exit code.
 
--- a/tansycrank/http_router/coordinator.py
+++ b/tansycrank/http_router/coordinator.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from functools import partial
 
 from tansycrank import routing
 from tansycrank.http_router import request_codec as codec
@@ -77,11 +76,14 @@
             routing.PollEndpoints: lambda action: poll_endpoints(),
             routing.LogMessage: lambda action: log("policy_message_logged", text=action.text),
         }
-        guarded_actions = {
-            kind: partial(self._execute, execute) for kind, execute in actions.items()
-        }
         self.loop = PolicyEventLoop(
-            reactor, settings, seed, guarded_actions, self._on_policy_failed, pool.flush
+            reactor,
+            settings,
+            seed,
+            actions,
+            self._on_policy_failed,
+            self._on_action_failed,
+            pool.flush,
         )
 
     # --- queries ----------------------------------------------------------------------
@@ -185,22 +187,17 @@
         self.log("policy_failed", error=repr(error), traceback=True)
         self.reject_all(FailureReason.FAULT)
 
-    def _execute(self, execute: Callable[[routing.Action], None], action: routing.Action) -> None:
-        """Execute one action; an exception fails only its query, and later actions still run."""
-        try:
-            execute(action)
-        except Exception as error:
-            self.log(
-                "action_failed", action=type(action).__name__, error=repr(error), traceback=True
-            )
-            query, shard_request = self._shard_requests.get(
-                getattr(action, "shard_request", 0), (None, None)
-            )
-            query = query or self._queries_by_id.get(getattr(action, "query", 0))
-            if isinstance(action, routing.Send):  # the policy expects AttemptEnded for each Send
-                self._end_unsent_attempt(action, shard_request)
-            if query is not None and not query.has_ended:
-                self.reject(query, FailureReason.FAULT)
+    def _on_action_failed(self, action: routing.Action, error: Exception) -> None:
+        """Fail the query of an action that raised an exception."""
+        self.log("action_failed", action=type(action).__name__, error=repr(error), traceback=True)
+        query, shard_request = self._shard_requests.get(
+            getattr(action, "shard_request", 0), (None, None)
+        )
+        query = query or self._queries_by_id.get(getattr(action, "query", 0))
+        if isinstance(action, routing.Send):  # the policy expects AttemptEnded for each Send
+            self._end_unsent_attempt(action, shard_request)
+        if query is not None and not query.has_ended:
+            self.reject(query, FailureReason.FAULT)
 
     # --- actions ----------------------------------------------------------------------
 
--- a/tansycrank/merge/blocks.py
+++ b/tansycrank/merge/blocks.py
@@ -47,7 +47,9 @@
         self.pause_reading: Callable[[bool], None] = lambda pause: None
         self.on_data: Callable[[], None] = lambda: None
         self.on_close: Callable[[], None] = lambda: None
-        self._paused = False
+        self.is_paused = False  # whether its node's rows are not read, since it holds enough
+        # ms: when it got rows, or began to read them again, most recently
+        self.last_progress_ms = memory.memory_reservations.now()
         memory.streams.append(self)
 
     # --- for the node connection ----------------------------------------------------------------
@@ -56,6 +58,7 @@
         """Add a block with `rows` rows. Raises PgError where they can't be buffered."""
         if self.state != "open":
             return
+        self.last_progress_ms = self.memory.memory_reservations.now()
         self.blocks.append(block)
         self.rows += rows
         self.size += len(block)
@@ -92,14 +95,15 @@
         block = self.blocks.popleft()
         self.buffered_bytes -= len(block)
         self.memory.release_buffered(len(block))
-        if self._paused and not self.memory.over_limit(self):
+        if self.is_paused and not self.memory.over_limit(self):
             self.set_paused(False)
         return block
 
     def set_paused(self, pause: bool) -> None:
         """Pause or resume reading from the data node; TCP flow control makes the node wait."""
-        if pause != self._paused and self.state == "open":
-            self._paused = pause
+        if pause != self.is_paused and self.state == "open":
+            self.is_paused = pause
+            self.last_progress_ms = self.memory.memory_reservations.now()
             self.pause_reading(pause)
 
     def spill(self) -> None:
--- a/tansycrank/merge/operators.py
+++ b/tansycrank/merge/operators.py
@@ -21,13 +21,14 @@
 from tansycrank.postgres import types
 from tansycrank.postgres.errors import PgError
 from tansycrank.postgres.messages import HEADER, INT16, INT32, Field, read_row
-from tansycrank.sql.plan import SortKey
 
 Block = tuple[bytes, int]
 BlockIterator = Iterator[Block | None]
 CONTINUE: Block = (b"", 0)
 OUTPUT_BLOCK_BYTES = 64 * 1024  # target size of an output block
-ROWS_PER_STEP = 128  # rows processed before an operator yields
+ROWS_PER_STEP = 128  # rows processed before an operator yields, or fewer of many columns
+VALUES_PER_STEP = 4096  # in these rows
+COLUMN_COUNT_AT = 5  # offset in a DataRow frame
 SORT_BATCH_ROWS = 4096  # rows per in-memory sort
 PARTITIONS = 32  # spill files of a hash table that exceeds its limit
 MAX_PARTITION_DEPTH = 3  # how often a partition may be partitioned again
@@ -35,65 +36,6 @@
 ROW_OVERHEAD_BYTES = 160  # Python objects per row beside its frame, with its key
 
 
-class ReverseOrder:
-    """Wraps a sort key so that it compares in descending order."""
-
-    __slots__ = ("value",)
-
-    def __init__(self, value: object) -> None:
-        self.value = value
-
-    def __lt__(self, other: ReverseOrder) -> bool:
-        return other.value < self.value
-
-    def __eq__(self, other: object) -> bool:
-        return isinstance(other, ReverseOrder) and self.value == other.value
-
-
-def column_value(frame: bytes, column: int) -> bytes | None:
-    """One value of a row frame, without decoding the others."""
-    offset, unpack = 7, INT32.unpack_from
-    for _ in range(column):
-        size = unpack(frame, offset)[0]
-        offset += 4 + size if size > 0 else 4
-    size = unpack(frame, offset)[0]
-    return None if size < 0 else frame[offset + 4 : offset + 4 + size]
-
-
-def sort_key_function(
-    keys: Sequence[SortKey], fields: Sequence[Field]
-) -> Callable[[bytes], object]:
-    """A function from a row frame to a key that sorts ascending in PostgreSQL's order."""
-    key_functions = [_column_sort_key(key, fields) for key in keys]
-    if len(key_functions) == 1:
-        return key_functions[0]
-    return lambda frame: tuple([key_function(frame) for key_function in key_functions])
-
-
-def _column_sort_key(key: SortKey, fields: Sequence[Field]) -> Callable[[bytes], object]:
-    column = key.column if key.column >= 0 else len(fields) + key.column
-    oid, code = fields[column].oid, fields[column].format
-    order, descending = types.order_key(oid, code), key.descending
-    if oid in types.INTEGER_TYPES:  # compared as plain numbers, with NULL as an infinity
-        null = float("-inf") if key.nulls_first else float("inf")
-        sign = -1 if descending else 1
-
-        def number(frame: bytes) -> float | int:
-            raw = column_value(frame, column)
-            return null if raw is None else sign * order(raw)
-
-        return number
-    rank = 0 if key.nulls_first else 2
-
-    def other(frame: bytes) -> tuple:
-        raw = column_value(frame, column)
-        if raw is None:
-            return (rank,)
-        return (1, ReverseOrder(order(raw))) if descending else (1, order(raw))
-
-    return other
-
-
 def hidden_column_remover(hidden: int, width: int) -> Callable[[bytes], bytes] | None:
     """A function that removes the trailing hidden columns of a row; None if there are none."""
     if not hidden:
@@ -228,14 +170,21 @@
 
 
 def row_batches(blocks: BlockIterator) -> Iterator[list[bytes] | None]:
-    """Split the input into lists of at most `ROWS_PER_STEP` row frames."""
+    """Split the input into lists of at most `ROWS_PER_STEP` row frames, fewer of wide ones."""
     for block in blocks:
         if block is None:
             yield None
             continue
         frames = frames_of(block[0])
-        for start in range(0, len(frames), ROWS_PER_STEP):
-            yield frames[start : start + ROWS_PER_STEP]
+        step = rows_per_step(frames[0]) if frames else ROWS_PER_STEP
+        for start in range(0, len(frames), step):
+            yield frames[start : start + step]
+
+
+def rows_per_step(frame: bytes) -> int:
+    """How many rows of as many columns as this one has are processed before an operator yields."""
+    columns = INT16.unpack_from(frame, COLUMN_COUNT_AT)[0]
+    return max(1, min(ROWS_PER_STEP, VALUES_PER_STEP // max(columns, 1)))
 
 
 def drop_hidden_columns(
--- a/tansycrank/merge/pipeline.py
+++ b/tansycrank/merge/pipeline.py
@@ -7,10 +7,15 @@
 from tansycrank.merge import operators as op
 from tansycrank.merge.blocks import QueryMemory, ShardRowStream
 from tansycrank.merge.rows import GroupTable, scalar
+from tansycrank.merge.sort_keys import sort_key_function
 from tansycrank.postgres.errors import PgError
 from tansycrank.postgres.messages import Field
 from tansycrank.sql.plan import MergePlan
 
+# Limits up to which a result is merged at once instead of in cooperative slices.
+INLINE_MAX_BYTES = 192 * 1024  # of the shards' rows
+INLINE_MAX_VALUES = 16_384  # that the merge computes
+INLINE_MAX_OUTPUT_BYTES = 8 * 1024 * 1024  # if each row of the result named the whole request
 TOP = 10_000  # largest LIMIT plus OFFSET for which the first rows are kept in memory
 
 
@@ -48,7 +53,7 @@
     elif plan.distinct:
         rows = op.hybrid_hash(rows, op.Distinct(fields), memory)
     if plan.sort:
-        by = op.sort_key_function(plan.sort, fields)
+        by = sort_key_function(plan.sort, fields)
         if plan.presorted:
             rows = op.merge_sorted(
                 [op.shard_source(shard_result, by) for shard_result in shard_results]
@@ -65,6 +70,20 @@
     )
 
 
+def is_small(
+    plan: MergePlan | None, shard_results: Sequence[ShardRowStream], request_bytes: int
+) -> bool:
+    """Whether a result may be merged at once; `request_bytes` of statement and parameters."""
+    is_in_memory = all(one.state == "complete" and one.run is None for one in shard_results)
+    if not is_in_memory or sum(one.size for one in shard_results) > INLINE_MAX_BYTES:
+        return False
+    if plan is None:
+        return True
+    rows = sum(one.rows for one in shard_results)
+    is_cheap = rows * plan.values_per_row <= INLINE_MAX_VALUES
+    return is_cheap and rows * request_bytes <= INLINE_MAX_OUTPUT_BYTES
+
+
 def streams(plan: MergePlan | None) -> bool:
     """Whether rows may be sent to the client before all shard results are complete."""
     return plan is None or (
--- a/tansycrank/merge/rows.py
+++ b/tansycrank/merge/rows.py
@@ -11,9 +11,15 @@
 from dataclasses import dataclass
 
 from tansycrank.merge import collected, folds
-from tansycrank.merge.values import cast_to_described, check_range, divide, evaluate
+from tansycrank.merge.values import (
+    TypedParameters,
+    cast_to_described,
+    check_range,
+    divide,
+    evaluate,
+)
 from tansycrank.postgres import types
-from tansycrank.postgres.errors import PgError, unsupported
+from tansycrank.postgres.errors import TOO_LARGE, PgError, unsupported
 from tansycrank.postgres.messages import Field, data_row, read_row
 from tansycrank.sql.plan import Aggregate, MergePlan, Scalar, SortKey
 
@@ -55,9 +61,9 @@
     if found is None:
         return None
     try:
-        number = int(found)
+        number = types.to_integer(types.INT8, found)
     except (TypeError, ValueError):
-        raise PgError("22P02", f"invalid {what}: {found!r}") from None
+        raise PgError("22P02", f"invalid {what}: {types.shortened(found)}") from None
     if number < 0:
         raise PgError("2201W" if what == "LIMIT" else "2201X", f"{what} must not be negative")
     return number
@@ -139,6 +145,10 @@
 
 
 VALUE_OVERHEAD_BYTES = 220  # memory of one collected value with its key
+VALUES_AT_ONCE = 4096  # values of a result that are computed before others get their turn
+ROWS_AT_ONCE = 200  # rows of a result that leave together, unless they are large
+BYTES_AT_ONCE = 64 * 1024  # of these rows
+MAX_ROW_BYTES = 64 * 1024 * 1024  # of a row, which may name a large parameter many times
 
 
 def _fold(spec: Aggregate, fields: Sequence[Field]) -> folds.Fold:
@@ -189,7 +199,7 @@
         described: tuple[Field, ...] | None,
     ) -> None:
         self.plan, self.shard_fields, self.described = plan, fields, described
-        self.params = list(zip(oids, params, strict=True))
+        self.params = TypedParameters(oids, params)
         width = len(plan.outputs)
         self.codes = (
             _codes(result_formats, width - plan.hidden_columns) + (0,) * plan.hidden_columns
@@ -268,41 +278,56 @@
         return _as_described(self.described, found)
 
     def _row(self, group_values: list[tuple], aggregate_values: list[tuple]) -> bytes:
-        values = zip(self._values(group_values, aggregate_values), self.codes, strict=True)
-        return data_row(
-            [None if v is None else types.encode(oid or types.TEXT, c, v) for (oid, v), c in values]
-        )
+        encoded: list[bytes | None] = []
+        size = 0
+        values = self._values(group_values, aggregate_values)
+        for (oid, value), code in zip(values, self.codes, strict=True):
+            encoded.append(None if value is None else types.encode(oid or types.TEXT, code, value))
+            size += len(encoded[-1] or b"")
+            if size > MAX_ROW_BYTES:
+                raise PgError(TOO_LARGE, f"a row of the result has over {MAX_ROW_BYTES} bytes")
+        return data_row(encoded)
 
     def result(self) -> Iterator[list[bytes]]:
-        """The output rows as lists of at most 200 frames."""
-        groups, fields, aggregates = self.plan.groups, self.shard_fields, self.plan.aggregates
-        out: list[bytes] = []
+        """The output rows in lists, some of them empty where HAVING leaves few rows.
+
+        Between two lists at most about `VALUES_AT_ONCE` values are computed.
+        """
+        if not self.plan.groups and not self.groups:  # without GROUP BY, no input gives one row
+            self.groups[()] = [None] * len(self.plan.aggregates)
+        groups_at_once = VALUES_AT_ONCE // max(self.plan.values_per_row, 1)
+        groups_at_once = max(1, min(groups_at_once, ROWS_AT_ONCE))
+        rows: list[bytes] = []
+        size = 0
+        for number, entry in enumerate(self.groups.values(), start=1):
+            row = self._output_row(entry)
+            if row is not None:
+                rows.append(row)
+                size += len(row)
+            if number % groups_at_once == 0 or size >= BYTES_AT_ONCE:
+                yield rows
+                rows, size = [], 0
+        yield rows
+
+    def _output_row(self, entry: list) -> bytes | None:
+        """The row of a group; None if HAVING leaves it out."""
+        if self._passthrough is not None:
+            values = [entry[at] for at in self._passthrough]
+            return data_row([str(_int8(v)).encode() if type(v) is int else v for v in values])
+        groups, fields = self.plan.groups, self.shard_fields
+        group_values = [
+            (f.oid, None if v is None else types.decode(f.oid, f.format, v))
+            for f, v in zip(fields, entry[:groups], strict=False)
+        ]
+        aggregate_values = [
+            _final(a, fields, entry[groups + i]) for i, a in enumerate(self.plan.aggregates)
+        ]
         having = self.plan.having
-        if not groups and not self.groups:  # without GROUP BY, no input still gives one row
-            self.groups[()] = [None] * len(aggregates)
-        for entry in self.groups.values():
-            if self._passthrough is not None:
-                values = [entry[at] for at in self._passthrough]
-                out.append(
-                    data_row([str(_int8(v)).encode() if type(v) is int else v for v in values])
-                )
-            else:
-                group_values = [
-                    (f.oid, None if v is None else types.decode(f.oid, f.format, v))
-                    for f, v in zip(fields, entry[:groups], strict=False)
-                ]
-                aggregate_values = [
-                    _final(a, fields, entry[groups + i]) for i, a in enumerate(aggregates)
-                ]
-                if (
-                    having is None
-                    or evaluate(having, group_values, aggregate_values, self.params)[1] is True
-                ):
-                    out.append(self._row(group_values, aggregate_values))
-            if len(out) >= 200:
-                yield out
-                out = []
-        yield out
+        if having is not None:
+            truth = evaluate(having, group_values, aggregate_values, self.params)[1]
+            if truth is not True:
+                return None
+        return self._row(group_values, aggregate_values)
 
 
 def _int8(value: int) -> int:
--- a/tansycrank/merge/values.py
+++ b/tansycrank/merge/values.py
@@ -12,16 +12,49 @@
 from tansycrank.sql.plan import Expression
 
 EXACT = decimal.Context(prec=20_000, rounding=decimal.ROUND_HALF_UP, Emax=999_999, Emin=-999_999)
+# holds every digit of every numeric, so that no sum is rounded
+SUMMING = decimal.Context(prec=150_000, Emax=999_999, Emin=-999_999)
 # NUMERIC_MIN_SIG_DIGITS, DEC_DIGITS and NUMERIC_MAX_DISPLAY_SCALE of numeric.c
 MIN_SIGNIFICANT, DIGITS_PER_GROUP, MAX_SCALE = 16, 4, 1000
+MAX_ROUNDING_DIGITS = 2000  # NUMERIC_MAX_RESULT_SCALE
 
 Typed = tuple  # (type OID, value): value None is NULL, OID 0 an untyped literal
 
 
+class ParameterText(str):
+    """The text of a parameter, which is cast to a type once for all groups of a result."""
+
+    def __init__(self, _text: str) -> None:
+        super().__init__()
+        self._casts: dict[int, object] = {}
+
+    def cast(self, oid: int) -> object:
+        """Return the value of this type. Raises PgError 22P02 or 22003."""
+        if oid not in self._casts:
+            self._casts[oid] = types.decode(oid, 0, self.encode())
+        return self._casts[oid]
+
+
+class TypedParameters:
+    """The parameters of a statement with their types, read as an expression needs them."""
+
+    def __init__(self, oids: Sequence[int], values: Sequence[object]) -> None:
+        self._oids, self._values = oids, values
+        self._typed: dict[int, Typed] = {}
+
+    def __getitem__(self, index: int) -> Typed:
+        """Return a parameter by its number less one."""
+        if index not in self._typed:
+            value = self._values[index]
+            is_text = isinstance(value, str)
+            self._typed[index] = self._oids[index], ParameterText(value) if is_text else value
+        return self._typed[index]
+
+
 def add(left: object, right: object) -> object:
     """The sum of two partial sums of the same type. Raises PgError on a float overflow."""
     if isinstance(left, Decimal):
-        return EXACT.add(left, right)
+        return SUMMING.add(left, right)
     total = left + right
     if (
         isinstance(total, float)
@@ -34,10 +67,17 @@
 
 def check_range(oid: int, value: object) -> object:
     """The value, unless it is an integer out of range of its type: then raises PgError."""
-    bits = {types.INT2: 15, types.INT4: 31, types.INT8: 63}.get(oid)
-    if bits and value is not None and not -(2**bits) <= value < 2**bits:
-        raise PgError(OUT_OF_RANGE, f"{types.type_name(oid)} out of range")
-    return value
+    if oid not in types.INTEGER_TYPES or value is None:
+        return value
+    return types.check_integer(oid, value)
+
+
+def quantize(value: Decimal, unit: Decimal) -> Decimal:
+    """The value rounded to a multiple of `unit`, a power of ten. Raises PgError 22003."""
+    try:
+        return value.quantize(unit, context=EXACT)
+    except decimal.InvalidOperation:  # more digits than the context has
+        raise PgError(OUT_OF_RANGE, "value overflows numeric format") from None
 
 
 def _leading_digit(value: Decimal) -> tuple[int, int]:
@@ -62,7 +102,7 @@
         return total
     divisor = Decimal(number)
     unit = Decimal(1).scaleb(-div_scale(total, divisor))
-    return EXACT.divide(total, divisor).quantize(unit, context=EXACT)
+    return quantize(EXACT.divide(total, divisor), unit)
 
 
 def numeric_deviation(kind: str, count: int, total: Decimal, squares: Decimal) -> Decimal | None:
@@ -80,17 +120,15 @@
         return Decimal(0)
     denominator = Decimal(count * (count - 1) if sample else count * count)
     unit = Decimal(1).scaleb(-div_scale(numerator, denominator))
-    variance = EXACT.divide(numerator, denominator).quantize(unit, context=EXACT)
-    return (
-        variance if kind.startswith("var") else EXACT.sqrt(variance).quantize(unit, context=EXACT)
-    )
+    variance = quantize(EXACT.divide(numerator, denominator), unit)
+    return variance if kind.startswith("var") else quantize(EXACT.sqrt(variance), unit)
 
 
 def evaluate(
     expression: Expression,
     groups: Sequence[Typed],
     aggregates: Sequence[Typed],
-    params: Sequence[Typed],
+    params: TypedParameters,
 ) -> Typed:
     """Evaluate an expression of a merge plan, with SQL's three-valued logic."""
     kind, *args = expression
@@ -126,8 +164,9 @@
             raise unsupported(f"round() of type {types.type_name(oid)} over aggregates")
         if value is None or not value.is_finite():
             return oid, value
-        rounded = value.quantize(Decimal(1).scaleb(-digits), context=EXACT)
-        return oid, rounded if digits >= 0 else rounded.quantize(Decimal(1), context=EXACT)
+        digits = max(min(digits, MAX_ROUNDING_DIGITS), -MAX_ROUNDING_DIGITS)
+        rounded = quantize(value, Decimal(1).scaleb(-digits))
+        return oid, rounded if digits >= 0 else quantize(rounded, Decimal(1))
     sign, left, right = values
     return types.BOOL, _compare(sign, left, right)
 
@@ -151,6 +190,8 @@
     """The value cast to another type; raises PgError for casts that are not supported."""
     if typed[0] == oid or oid == 0:
         return typed[1]
+    if typed[0] in types.TEXT_TYPES and isinstance(typed[1], ParameterText):
+        return typed[1].cast(oid)
     if typed[0] in types.TEXT_TYPES and isinstance(typed[1], str):
         return types.decode(oid, 0, typed[1].encode())
     if oid == types.NUMERIC and isinstance(typed[1], int):
--- a/tansycrank/merge/work.py
+++ b/tansycrank/merge/work.py
@@ -4,11 +4,12 @@
 
 from collections import deque
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 from typing import Protocol
 
 from tansycrank.merge.blocks import QueryMemory, ShardRowStream, frames_of
 from tansycrank.merge.operators import BlockIterator
-from tansycrank.postgres.errors import INTERNAL, PgError
+from tansycrank.postgres.errors import INTERNAL, PgError, unexpected_error
 from tansycrank.postgres.messages import Field
 
 TIME_SLICE_S = 0.002  # time per reactor turn for all merges together
@@ -77,6 +78,14 @@
         self.on_ready()
         return self._size < HIGH_WATER_BYTES
 
+    def end_after_fault(self, error: Exception) -> None:
+        """End with an error after an exception while its rows were merged or passed on.
+
+        Its client is told, unless that raises an exception too.
+        """
+        with suppress(Exception):
+            self._fail(unexpected_error(error))
+
     def _fail(self, problem: PgError) -> None:
         self.error, self.finished = problem, True
         self.on_ready()
@@ -156,6 +165,9 @@
     def step(self) -> bool:
         """Do a bounded amount of work; returns whether more can be done at once."""
 
+    def end_after_fault(self, error: Exception) -> None:
+        """End after a step that raised an exception."""
+
 
 class MergeScheduler:
     """Runs the tasks of large queries round-robin.
@@ -190,6 +202,15 @@
             self._queued.discard(task)
             self._run_queue.remove(task)
 
+    @staticmethod
+    def _step(task: Task) -> bool:
+        """Run a step of a task; an exception ends that task and no other."""
+        try:
+            return task.step()
+        except Exception as error:
+            task.end_after_fault(error)
+            return False
+
     def _turn(self) -> None:
         self._scheduled_call = None
         end = self._clock() + TIME_SLICE_S
@@ -198,7 +219,7 @@
                 break
             task = self._run_queue.popleft()
             self._queued.discard(task)
-            if task.step():
+            if self._step(task):
                 self.wake(task)
         if self._run_queue and self._scheduled_call is None:
             self._scheduled_call = self._call_later(self._turn)
--- a/tansycrank/policy_event_loop.py
+++ b/tansycrank/policy_event_loop.py
@@ -18,8 +18,10 @@
     """Runs the steps of a policy; times are milliseconds of the reactor's monotonic clock.
 
     `action_handlers` maps each type of action to the function that carries it out. `after_step` is
-    called once the actions of a step were carried out. `on_policy_failure` is called with any
-    exception that a step or one of its actions raised; it has to answer the open queries.
+    called once the actions of a step were carried out. `on_policy_failure` is called with an
+    exception that the policy raised; it has to answer the open queries. `on_action_failure` is
+    called with an action and the exception that carrying it out raised, which concerns its query
+    alone: the other actions of the step are carried out.
     """
 
     def __init__(
@@ -29,11 +31,13 @@
         seed: int,
         action_handlers: Mapping[type, Callable],
         on_policy_failure: Callable[[Exception], None],
+        on_action_failure: Callable[[routing.Action, Exception], None],
         after_step: Callable[[], None] = lambda: None,
     ) -> None:
         """Create the policy; `reactor.seconds_since_poll`, if any, is called before each step."""
         self.reactor = reactor
         self.on_policy_failure = on_policy_failure
+        self.on_action_failure = on_action_failure
         self.after_step = after_step
         self.policy = RoutingPolicy(settings, seed)
         self.steps = 0
@@ -73,13 +77,20 @@
         self.steps += 1
         try:
             for action in self.policy.step(self.now, events):
-                handler = self._action_handlers.get(type(action))
-                if handler is not None:
-                    handler(action)
+                self._carry_out(action)
         except Exception as error:
             self.on_policy_failure(error)
         self.after_step()
 
+    def _carry_out(self, action: routing.Action) -> None:
+        handler = self._action_handlers.get(type(action))
+        if handler is None:
+            return
+        try:
+            handler(action)
+        except Exception as error:
+            self.on_action_failure(action, error)
+
     def _set_timer(self, action: routing.SetTimer) -> None:
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
--- a/tansycrank/postgres/messages/framing.py
+++ b/tansycrank/postgres/messages/framing.py
@@ -16,6 +16,7 @@
 HEADER = struct.Struct("!ci")  # type and length
 HEADER_BYTES = 5
 DATA_ROW_TYPE = 0x44  # b"D"
+MAX_COUNT = 0xFFFF  # of parameters, formats or types in a message: their count has 16 bits
 
 
 def frame(kind: bytes, body: bytes = b"") -> bytes:
--- a/tansycrank/postgres/server/extended_query.py
+++ b/tansycrank/postgres/server/extended_query.py
@@ -37,6 +37,7 @@
 
 STATEMENT_KIND = "S"
 PLAN_BYTES_PER_CHARACTER = 40  # memory of a planned statement by the length of its text
+BYTES_PER_PARAMETER_TYPE = 40  # in a planned statement
 COPY_DATA_KINDS = "dcf"  # CopyData, CopyDone, CopyFail: ignored outside COPY
 
 
@@ -133,6 +134,8 @@
         if prepared is not None and context.transaction.has_failed:
             context.transaction.check_statement(prepared)
         held_bytes = PLAN_BYTES_PER_CHARACTER * len(message.sql)
+        if prepared is not None:
+            held_bytes += BYTES_PER_PARAMETER_TYPE * len(prepared.oids)
         context.statements.add(message.name, Statement(prepared, comment, held_bytes))
         self._connection.write(pg.PARSE_COMPLETE)
 
--- a/tansycrank/postgres/server/factory.py
+++ b/tansycrank/postgres/server/factory.py
@@ -32,7 +32,7 @@
         self.stopping = False
         self.accepted = 0  # connections
         self.reader_scheduler = ReaderScheduler(
-            lambda call: reactor.callLater(0, call), reactor.seconds
+            lambda call: reactor.callLater(0, call), reactor.seconds, self._on_reading_failed
         )
         self.held_bytes = ByteBudget(limits.max_held)
         self._sessions_by_pid: dict[int, ClientSession] = {}
@@ -40,6 +40,10 @@
         self._last_pid = 0
         self._cursor_check = None
 
+    def _on_reading_failed(self, error: Exception) -> None:
+        if self.log:
+            self.log.error("session_failed", pid=0, error=repr(error))
+
     def buildProtocol(self, addr) -> ClientSession:
         """Create the session of a new connection."""
         return ClientSession(self)
--- a/tansycrank/postgres/server/session.py
+++ b/tansycrank/postgres/server/session.py
@@ -280,7 +280,7 @@
         until, has_time = seconds() + MAX_PROCESSING_SECONDS, True
         try:
             while self.is_ready and not self._is_busy and self._is_client_reading and has_time:
-                if self._extended_query.resume_deferred(self._queue):
+                if self._resume_deferred():
                     continue
                 if not self._queue:
                     if self.factory.stopping and self._context.transaction.is_idle:
@@ -290,6 +290,8 @@
                 has_time = seconds() < until
         except PgError as error:
             self._end_with(error)
+        except Exception as error:  # the caller may serve other sessions too
+            self._end_after_fault(error)
         finally:
             self._is_processing = False
         if not has_time and self.is_ready:
@@ -297,6 +299,24 @@
         self._adjust_reading()
         self.factory.held_bytes.update(self)
 
+    def _resume_deferred(self) -> bool:
+        """Handle a deferred message of the extended protocol; return False if there is none."""
+        try:
+            return self._extended_query.resume_deferred(self._queue)
+        except PgError as error:
+            if error.is_fatal:
+                raise
+            self._extended_query.fail(error)
+        except Exception as error:
+            self.fail_statement(error)
+        return True
+
+    def _end_after_fault(self, error: Exception) -> None:
+        """End the session after an exception that concerns no statement."""
+        if self.factory.log:
+            self.factory.log.error("session_failed", pid=self.pid, error=repr(error))
+        self._end_with(unexpected_error(error))
+
     def _handle(self, message: object) -> None:
         if isinstance(message, pg.Terminate):
             self.state = SessionState.ENDING
--- a/tansycrank/postgres/server/simple_query.py
+++ b/tansycrank/postgres/server/simple_query.py
@@ -5,10 +5,9 @@
 from collections.abc import Iterator
 
 from tansycrank.postgres import messages as pg
-from tansycrank.postgres.errors import FEATURE_NOT_SUPPORTED, PgError
+from tansycrank.postgres.errors import FEATURE_NOT_SUPPORTED, UNDEFINED_PARAMETER, PgError
 from tansycrank.postgres.server.context import SessionContext
 from tansycrank.postgres.server.session_commands import SessionCommands
-from tansycrank.postgres.server.sqlstates import UNDEFINED_PARAMETER
 from tansycrank.postgres.server.statement_execution import ASYNC_COMMANDS, StatementExecution
 from tansycrank.sql.plan import Prepared
 
--- a/tansycrank/sql/infer.py
+++ b/tansycrank/sql/infer.py
@@ -9,7 +9,9 @@
 
 from tansycrank.config import Table
 from tansycrank.postgres import types
-from tansycrank.sql.tree import column_name, type_oid, walk
+from tansycrank.postgres.errors import INDETERMINATE_DATATYPE, UNDEFINED_PARAMETER, PgError
+from tansycrank.postgres.messages import MAX_COUNT as MAX_PARAMETERS
+from tansycrank.sql.tree import FlatTree, column_name, type_oid, walk
 
 COMPARISON_KINDS = (
     A_Expr_Kind.AEXPR_OP,
@@ -26,14 +28,15 @@
 
 
 def parameter_types(
-    stmt: ast.Node, tables: Mapping[str, Table], declared: tuple[int, ...] = ()
+    stmt: FlatTree, tables: Mapping[str, Table], declared: tuple[int, ...] = ()
 ) -> tuple[int, ...]:
     """Returns the type OIDs of $1, $2, ...
 
     Declared types are kept and the others inferred; 0 means that a data node must determine it.
+    Raises PgError 42P02 or 42P18 for a number that no parameter can have.
     """
-    used = [node.number for node in walk(stmt) if isinstance(node, ast.ParamRef)]
-    inferred = dict.fromkeys(range(1, max([*used, len(declared)], default=0) + 1), 0)
+    count = _parameter_count(stmt, len(declared))
+    inferred = dict.fromkeys(range(1, count + 1), 0)
     inferred.update({i + 1: oid for i, oid in enumerate(declared) if oid not in (0, types.UNKNOWN)})
     columns = _column_types(stmt, tables)
 
@@ -78,6 +81,25 @@
     return tuple(inferred[i] for i in sorted(inferred))
 
 
+def _parameter_count(stmt: FlatTree, declared: int) -> int:
+    """Returns the highest number of a parameter.
+
+    Each number up to it is declared or used, as in PostgreSQL, so that a number alone cannot make
+    the statement large.
+    """
+    used = {node.number for node in walk(stmt) if isinstance(node, ast.ParamRef)}
+    highest = max(used, default=0)
+    invalid = highest if highest > MAX_PARAMETERS else min(used, default=1)
+    if not 1 <= invalid <= MAX_PARAMETERS:
+        raise PgError(UNDEFINED_PARAMETER, f"there is no parameter ${invalid}")
+    missing = next((n for n in range(declared + 1, highest) if n not in used), 0)
+    if missing:
+        raise PgError(
+            INDETERMINATE_DATATYPE, f"could not determine data type of parameter ${missing}"
+        )
+    return max(highest, declared)
+
+
 def insert_columns(stmt: ast.InsertStmt, table: Table) -> list[str]:
     """Returns the target columns of an INSERT, in the order of its VALUES rows."""
     return [target.name for target in stmt.cols] if stmt.cols else list(table.columns)
@@ -93,7 +115,7 @@
                 record_type(value, table.columns.get(name, 0))
 
 
-def _column_types(stmt: ast.Node, tables: Mapping[str, Table]) -> dict[tuple[str, str], int]:
+def _column_types(stmt: FlatTree, tables: Mapping[str, Table]) -> dict[tuple[str, str], int]:
     found: dict[tuple[str, str], int] = {}
     for node in walk(stmt):
         if isinstance(node, ast.RangeVar) and node.relname in tables:
--- a/tansycrank/sql/many.py
+++ b/tansycrank/sql/many.py
@@ -5,11 +5,14 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from copy import copy
+from typing import NamedTuple
 
 from pglast import ast
 from pglast.enums import LimitOption, SetOperation, SortByDir, SortByNulls
 from pglast.stream import RawStream
+from pglast.visitors import Continue, Visitor
 
 from tansycrank.config import Config
 from tansycrank.postgres import types
@@ -37,9 +40,35 @@
 UNCOLLATED_AGGREGATES = ("count", "sum", "avg", "bool_and", "bool_or", "every")
 
 
+class HiddenColumn(NamedTuple):
+    """A column that shards add for a sort expression, and that clients don't get."""
+
+    number: int  # from 1, in the order in which they are added
+    expression: ast.Node
+
+
 def to_sql(node: ast.Node) -> str:
     """Returns the SQL text of a syntax tree."""
-    return RawStream()(node)
+    _set_ancestors((node,))
+    stream = RawStream()
+    stream.print_node(node)
+    return stream.getvalue()
+
+
+def _set_ancestors(nodes: tuple[ast.Node, ...]) -> None:
+    """Sets the ancestors of all nodes, which the printer needs.
+
+    `pglast.visitors.populate_ancestors` defines a class at each call, which takes longer than
+    printing a short expression.
+    """
+    visitor = Visitor()
+    visitor.root = nodes
+    visits = visitor.iterate(nodes)
+    with suppress(StopIteration):
+        ancestors, node = next(visits)
+        while True:
+            node.ancestors = ancestors
+            ancestors, node = visits.send(Continue)
 
 
 def plan_multi_shard(config: Config, stmt: ast.SelectStmt) -> tuple[ast.SelectStmt, MergePlan]:
@@ -58,6 +87,16 @@
             raise unsupported("join of distributed tables not on their distribution columns")
         self.targets: list[ast.ResTarget] = list(stmt.targetList or ())
         self.star = any(contains(t.val, ast.A_Star) for t in self.targets)
+        self._target_indexes: dict[str, int] | None = None  # by SQL text, once needed
+        # nodes and their SQL text by the id of the node, which lives as long as its entry
+        self._rendered: dict[int, tuple[ast.Node, str]] = {}
+        self._targets_by_name = {t.name: t.val for t in reversed(self.targets) if t.name}
+
+    def _sql(self, node: ast.Node) -> str:
+        """Returns the SQL text of a node, rendered once."""
+        if id(node) not in self._rendered:
+            self._rendered[id(node)] = node, to_sql(node)
+        return self._rendered[id(node)][1]
 
     def _reject_unsupported_constructs(self) -> None:
         stmt, tables = self.stmt, self.config.tables
@@ -153,10 +192,9 @@
         name = column_name(node)
         if name and not name[0]:
             is_column = any(name[1] in t.columns for t in self.scope.tables.values())
-            if where == "ORDER BY" or not is_column:
-                named = [t.val for t in self.targets if t.name == name[1]]
-                if named:
-                    return named[0]
+            prefers_output = where == "ORDER BY" or not is_column
+            if prefers_output and name[1] in self._targets_by_name:
+                return self._targets_by_name[name[1]]
         return node
 
     def _row_count(self, node: ast.Node | None, what: str) -> Scalar:
@@ -172,8 +210,10 @@
             raise unsupported(f"an expression in {what}") from None
         if value is None:
             return Scalar()
+        if isinstance(value, types.Decimal):
+            value = types.whole_number(types.INT8, value)
         if not isinstance(value, int):
-            raise unsupported(f"{what} {value}")
+            raise unsupported(f"an expression in {what}")
         if value < 0:
             raise PgError("2201W" if what == "LIMIT" else "2201X", f"{what} must not be negative")
         return Scalar(value)
@@ -187,30 +227,29 @@
             self._row_count(stmt.limitCount, "LIMIT"),
             self._row_count(stmt.limitOffset, "OFFSET"),
         )
-        hidden: list[ast.ResTarget] = []
-        keys, sort_types_known, shard_sort = [], True, []
+        hidden: dict[str, HiddenColumn] = {}  # by SQL text
+        keys, sort_types_known, shard_sort = {}, True, []
         for item in stmt.sortClause or ():
             column, node = self._sort_column(item.node, hidden, distinct)
             descending, first = _sort_direction(item)
-            keys.append((column, descending, first))
+            if column in keys:  # a later key of the same column decides nothing
+                continue
+            keys[column] = descending, first
             oid = self._type_of(node)
             sort_types_known = sort_types_known and bool(oid)
-            if oid in types.TEXT_TYPES and oid and not isinstance(node, ast.CollateClause):
-                node = ast.CollateClause(arg=node, collname=(ast.String(sval="C"),))
-            shard_sort.append(
-                ast.SortBy(
-                    node=node,
-                    sortby_dir=SortByDir.SORTBY_DESC if descending else SortByDir.SORTBY_ASC,
-                    sortby_nulls=SortByNulls.SORTBY_NULLS_FIRST
-                    if first
-                    else SortByNulls.SORTBY_NULLS_LAST,
-                )
-            )
+            shard_sort.append(_shard_sort_by(node, oid, descending, first))
         hidden_count = len(hidden)
         # _sort_column returns -i for the i-th hidden column; counted from the end of a row of any
         # width, its index is i - hidden_count - 1
-        sort = tuple(SortKey(c if c >= 0 else -c - hidden_count - 1, d, f) for c, d, f in keys)
-        shard_request.targetList = tuple(self.targets) + tuple(hidden)
+        sort = tuple(
+            SortKey(column if column >= 0 else -column - hidden_count - 1, *direction)
+            for column, direction in keys.items()
+        )
+        hidden_targets = [
+            ast.ResTarget(name=f"tansycrank_sort_{one.number - 1}", val=one.expression)
+            for one in hidden.values()
+        ]
+        shard_request.targetList = (*self.targets, *hidden_targets)
         push_limit = (limit.param or limit.value is not None) and sort_types_known
         presorted = bool(sort) and sort_types_known and not distinct
         shard_request.limitCount = shard_request.limitOffset = shard_request.sortClause = None
@@ -238,7 +277,7 @@
         )
 
     def _sort_column(
-        self, node: ast.Node, hidden: list[ast.ResTarget], distinct: bool
+        self, node: ast.Node, hidden: dict[str, HiddenColumn], distinct: bool
     ) -> tuple[int, ast.Node]:
         """Returns the sort column's index in a shard's row, or -i for the i-th hidden column."""
         if isinstance(node, ast.A_Const) and not node.isnull and isinstance(node.val, ast.Integer):
@@ -249,18 +288,24 @@
         if contains(expression, ast.SubLink):
             raise unsupported("a subquery in ORDER BY")
         if not self.star:
-            text = to_sql(expression)
-            for index, target in enumerate(self.targets):
-                if to_sql(target.val) == text:
-                    return index, expression
+            index = self._target_index(self._sql(expression))
+            if index is not None:
+                return index, expression
         if distinct and not self.star:
             raise PgError(
                 "42P10", "for SELECT DISTINCT, ORDER BY expressions must appear in select list"
             )
         if distinct:
             raise unsupported("SELECT DISTINCT * with ORDER BY")
-        hidden.append(ast.ResTarget(name=f"tansycrank_sort_{len(hidden)}", val=expression))
-        return -len(hidden), expression
+        column = hidden.setdefault(self._sql(expression), HiddenColumn(len(hidden) + 1, expression))
+        return -column.number, expression
+
+    def _target_index(self, text: str) -> int | None:
+        """Returns the index of the first output column with this SQL text."""
+        if self._target_indexes is None:
+            texts = [self._sql(target.val) for target in self.targets]
+            self._target_indexes = {text: i for i, text in reversed(list(enumerate(texts)))}
+        return self._target_indexes.get(text)
 
     def _type_of(self, node: ast.Node) -> int:
         """Returns a type OID that tells whether the expression is text, 0 if unknown."""
@@ -297,8 +342,9 @@
             )
         if stmt.distinctClause:
             raise unsupported("SELECT DISTINCT with aggregates")
-        self.groups = [(to_sql(g), g) for g in groups]
-        self.columns: list[ast.Node] = [g for _, g in self.groups]
+        texts = [self._sql(group) for group in groups]
+        self.group_indexes = {text: i for i, text in reversed(list(enumerate(texts)))}
+        self.columns: list[ast.Node] = list(groups)
         self.column_indexes: dict[str, int] = {}
         self.aggregates: list[Aggregate] = []
         self.aggregate_indexes: dict[str, int] = {}
@@ -311,6 +357,7 @@
         outputs = tuple(Output(_output_name(t), self._expression(t.val)) for t in self.targets)
         having = self._expression(stmt.havingClause) if stmt.havingClause is not None else None
         sort, sort_outputs = [], []
+        output_indexes = {o.expression: i for i, o in reversed(list(enumerate(outputs)))}
         for item in stmt.sortClause or ():
             node = item.node
             if (
@@ -322,7 +369,7 @@
                 column = node.val.ival - 1
             else:
                 expression = self._expression(self._resolve_reference(node, "ORDER BY"))
-                column = next((i for i, o in enumerate(outputs) if o.expression == expression), -1)
+                column = output_indexes.get(expression, -1)
                 if column < 0:
                     sort_outputs.append(Output("", expression))
                     column = len(outputs) + len(sort_outputs) - 1
@@ -331,11 +378,11 @@
         shard_request.targetList = tuple(
             ast.ResTarget(name=f"c{i}", val=node) for i, node in enumerate(self.columns)
         )
-        shard_request.groupClause = tuple(g for _, g in self.groups) or None
+        shard_request.groupClause = tuple(groups) or None
         distinct_first = False
         if self.needs_values:
             shard_request.groupClause = None
-            one_value_column = len(self.columns) == len(self.groups) + 1
+            one_value_column = len(self.columns) == len(groups) + 1
             distinct_first = one_value_column and all(
                 a.kind == "count" and a.distinct and a.filter < 0 for a in self.aggregates
             )
@@ -361,7 +408,7 @@
 
     def _shard_column(self, call: ast.Node) -> int:
         """Returns the index of this expression in a shard's row, adding the column if needed."""
-        text = to_sql(call)
+        text = self._sql(call)
         if text not in self.column_indexes:
             self.column_indexes[text] = len(self.columns)
             self.columns.append(call)
@@ -369,7 +416,7 @@
 
     def _value_aggregate(self, call: ast.FuncCall) -> tuple:
         """Plans an aggregate that the router computes from the input values of all shards."""
-        name, text = function_name(call), to_sql(call)
+        name, text = function_name(call), self._sql(call)
         if contains(call.args, ast.SubLink) or any(is_aggregate(n) for n in walk(call.args or ())):
             raise unsupported(f"a subquery or aggregate inside {name}()")
         if name not in PARTIAL_AGGREGATES | VALUE_AGGREGATES:
@@ -423,7 +470,7 @@
             raise unsupported(f"{name}(... ORDER BY ...)")
         if contains(call.args, ast.SubLink) or any(is_aggregate(n) for n in walk(call.args or ())):
             raise unsupported(f"a subquery or aggregate inside {name}()")
-        text = to_sql(call)
+        text = self._sql(call)
         if text not in self.aggregate_indexes:
             collated = True
             if name == "avg":
@@ -456,10 +503,9 @@
 
     def _expression(self, node: ast.Node) -> tuple:
         """Translates an expression over groups and aggregates that the router evaluates exactly."""
-        text = to_sql(node)
-        for index, (group, _) in enumerate(self.groups):
-            if group == text:
-                return ("group", index)
+        text = self._sql(node)
+        if text in self.group_indexes:
+            return ("group", self.group_indexes[text])
         if isinstance(node, ast.FuncCall):
             if is_aggregate(node):
                 return self._aggregate(node)
@@ -501,6 +547,19 @@
         raise unsupported(f"the expression {text[:60]} over aggregates")
 
 
+def _shard_sort_by(node: ast.Node, oid: int, descending: bool, nulls_first: bool) -> ast.SortBy:
+    """Returns the sort clause of a shard, whose order of texts is that of the router."""
+    if oid in types.TEXT_TYPES and oid and not isinstance(node, ast.CollateClause):
+        node = ast.CollateClause(arg=node, collname=(ast.String(sval="C"),))
+    return ast.SortBy(
+        node=node,
+        sortby_dir=SortByDir.SORTBY_DESC if descending else SortByDir.SORTBY_ASC,
+        sortby_nulls=SortByNulls.SORTBY_NULLS_FIRST
+        if nulls_first
+        else SortByNulls.SORTBY_NULLS_LAST,
+    )
+
+
 def _sort_direction(item: ast.SortBy) -> tuple[bool, bool]:
     if item.sortby_dir == SortByDir.SORTBY_USING:
         raise unsupported("ORDER BY ... USING")
--- a/tansycrank/sql/plan.py
+++ b/tansycrank/sql/plan.py
@@ -12,6 +12,15 @@
 Expression = tuple
 
 
+def expression_size(expression: Expression) -> int:
+    """Returns the number of nodes of an expression."""
+    size, pending = 0, [expression]
+    while pending:
+        size += 1
+        pending += [part for part in pending.pop() if isinstance(part, tuple)]
+    return size
+
+
 @dataclass(frozen=True, slots=True)
 class SortKey:
     """One sort column. A negative index counts from the end of the row (hidden columns)."""
@@ -77,6 +86,14 @@
     limit_pushed_down: bool = False
     presorted: bool = False  # data nodes return their rows in the order of `sort`
 
+    @property
+    def values_per_row(self) -> int:
+        """How many values a merge computes for a row of the result, sort keys among them."""
+        expressions = [output.expression for output in self.outputs]
+        if self.having is not None:
+            expressions.append(self.having)
+        return sum(map(expression_size, expressions)) + len(self.sort)
+
     def explain(self) -> list[str]:
         """Returns the lines that EXPLAIN shows for this plan."""
         lines = [
--- a/tansycrank/sql/planner.py
+++ b/tansycrank/sql/planner.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
 
@@ -31,13 +32,29 @@
 from tansycrank.sql.names import SIDE_EFFECT_FREE_FUNCTIONS
 from tansycrank.sql.plan import BoundStatement, LocalCommand, MergePlan, Prepared, ShardSql
 from tansycrank.sql.scope import ShardPruner, build_scope
-from tansycrank.sql.shards import NoShardError, canonical_value, shard_of
-from tansycrank.sql.tree import NotConstantError, constant, contains, function_name, walk
+from tansycrank.sql.shards import NoShardError, ParameterShards, canonical_value, shard_of
+from tansycrank.sql.statement_limits import (
+    check_array_dimensions,
+    check_columns,
+    check_statement,
+)
+from tansycrank.sql.tree import (
+    FlatTree,
+    NotConstantError,
+    constant,
+    contains,
+    function_name,
+    walk,
+)
 
+PLACEHOLDER_PREFIX = "tansycrank_shard_"  # of the schema name in a statement for several shards
+# The last sign keeps a number from being found at the beginning of a longer one.
+PLACEHOLDER = re.compile(PLACEHOLDER_PREFIX + "([0-9]+)_")
 CURSOR_SCROLL, CURSOR_HOLD = 0x0002, 0x0020  # parsenodes.h: CURSOR_OPT_SCROLL, CURSOR_OPT_HOLD
 MAX_CACHED_TEXTS = 2000  # cache entries, keyed by SQL text and declared parameter types
 MAX_CACHED_TEXT_LENGTH = 16_384  # characters of a text that is cached
 MAX_CACHED_CHARACTERS = 1_048_576  # of all cached texts; a plan takes many times its text
+MAX_CACHED_PARAMETERS = 1000  # of a text that is cached
 MAX_COMMENT_LENGTH = 512  # longest leading comment, in characters, that is split off and forwarded
 
 
@@ -70,6 +87,7 @@
         if key in self._cache:
             self._cache.move_to_end(key)
             return self._cache[key]
+        check_statement(sql, self.config.listen.max_tokens)
         try:
             found = pglast.parse_sql(sql)
         except pglast.parser.ParseError as error:
@@ -84,7 +102,8 @@
             text = sql[start : start + raw.stmt_len] if raw.stmt_len else sql[start:]
             planned.append(self._plan_statement(raw.stmt, text, start, oids))
         result = tuple(planned)
-        if len(sql) <= MAX_CACHED_TEXT_LENGTH:
+        has_many_types = sum(len(one.oids) for one in result) > MAX_CACHED_PARAMETERS
+        if len(sql) <= MAX_CACHED_TEXT_LENGTH and not has_many_types:
             self._add_to_cache(key, result)
         return result
 
@@ -192,7 +211,7 @@
             options=tuple(options),
         )
 
-    def _referenced_tables(self, stmt: ast.Node) -> list[tuple[ast.RangeVar, Table]]:
+    def _referenced_tables(self, stmt: ast.Node | FlatTree) -> list[tuple[ast.RangeVar, Table]]:
         names = {cte.ctename for cte in walk(stmt) if isinstance(cte, ast.CommonTableExpr)}
         found = []
         for node in walk(stmt):
@@ -230,27 +249,31 @@
                 fields=empty.fields,
                 compute_local=lambda values: local.type_introspection_rows(values[0] or ()),
             )
+        check_columns((stmt,))
         answer = local.answer_locally(stmt)
         if answer is not None:
             return Prepared(
                 text, "SELECT", oids, answer, returns_rows=True, fields=answer.fields or None
             )
-        for node in walk(stmt):
+        nodes = FlatTree(walk(stmt))
+        check_columns(nodes)
+        check_array_dimensions(nodes)
+        for node in nodes:
             if isinstance(node, ast.InsertStmt | ast.UpdateStmt | ast.DeleteStmt):
                 raise PgError(FEATURE_NOT_SUPPORTED, "data-modifying WITH is not supported")
             if isinstance(node, ast.IntoClause):
                 raise PgError(FEATURE_NOT_SUPPORTED, "SELECT INTO is not supported")
             if isinstance(node, ast.RangeTableSample):
                 raise PgError(FEATURE_NOT_SUPPORTED, "TABLESAMPLE is not supported")
-        tables = self._referenced_tables(stmt)
+        tables = self._referenced_tables(nodes)
         prepared = Prepared(
             text,
             "SELECT",
-            parameter_types(stmt, self.config.tables, oids),
-            volatile_function=_find_volatile_function(stmt),
+            parameter_types(nodes, self.config.tables, oids),
+            volatile_function=_find_volatile_function(nodes),
             tables=tuple(t.name for _, t in tables),
         )
-        levels = [s for s in walk(stmt) if isinstance(s, ast.SelectStmt) and s.fromClause]
+        levels = [s for s in nodes if isinstance(s, ast.SelectStmt) and s.fromClause]
         scopes = [
             build_scope(self.config, level.fromClause, level.whereClause, strict=False)
             for level in levels
@@ -261,7 +284,7 @@
             # only, and the rows of the other shards would be lost.
             raise unsupported("a distributed table in this place of FROM")
         pruners = [ShardPruner(self.config, scope) for scope in scopes if scope.distributed]
-        locks_rows = contains(stmt, ast.LockingClause)
+        locks_rows = contains(nodes, ast.LockingClause)
         qualified = self._schema_qualifier(text, start, stmt, tables)
         multi_shard_plan: list = []
 
@@ -270,7 +293,8 @@
                 return BoundStatement(
                     (ShardSql(shard := self.any_shard(), qualified(shard)),), None
                 )
-            shards_by_table = [shards for pruner in pruners for shards in pruner.shards(values)]
+            parameters = ParameterShards(values, self.config.store.shards)
+            shards_by_table = [shards for pruner in pruners for shards in pruner.shards(parameters)]
             required_shards = set.union(*shards_by_table)
             if len(required_shards) <= 1:
                 shard = required_shards.pop() if required_shards else self.any_shard()
@@ -285,13 +309,9 @@
                 template, placeholder = self._template(shard_request)
                 multi_shard_plan.extend((template, placeholder, merge))
             template, placeholder, merge = multi_shard_plan
-            shards = (
-                sorted(set.union(*pruners[0].shards(values)))
-                if len(pruners) == 1
-                else sorted(required_shards)
-            )
             shard_requests = tuple(
-                ShardSql(s, template.replace(placeholder, self.schema(s))) for s in shards
+                ShardSql(s, template.replace(placeholder, self.schema(s)))
+                for s in sorted(required_shards)
             )
             return BoundStatement(shard_requests, merge)
 
@@ -348,17 +368,16 @@
 
         The placeholder occurs nowhere else in the SQL.
         """
-        original_sql, number = to_sql(stmt), 0
-        while (placeholder := f"tansycrank_shard_{number}") in original_sql:
-            number += 1
-        saved_schemas = [(node, node.schemaname) for node, _ in self._referenced_tables(stmt)]
-        for node, _ in saved_schemas:
-            node.schemaname = placeholder
-        try:
-            return to_sql(stmt), placeholder
-        finally:
-            for node, old_schema in saved_schemas:
-                node.schemaname = old_schema
+        tables = [node for node, _ in self._referenced_tables(stmt)]
+        placeholder = f"{PLACEHOLDER_PREFIX}0_"
+        rendered = _render_with_schema(stmt, tables, placeholder)
+        used = PLACEHOLDER.findall(rendered)
+        if used.count("0") == len(tables):
+            return rendered, placeholder
+        taken = set(used)
+        free = next(number for number in range(len(taken) + 1) if str(number) not in taken)
+        placeholder = f"{PLACEHOLDER_PREFIX}{free}_"
+        return _render_with_schema(stmt, tables, placeholder), placeholder
 
     # --- writes -----------------------------------------------------------------------
 
@@ -366,7 +385,9 @@
         tag = {ast.InsertStmt: "INSERT", ast.UpdateStmt: "UPDATE", ast.DeleteStmt: "DELETE"}[
             type(stmt)
         ]
-        tables = self._referenced_tables(stmt)
+        nodes = FlatTree(walk(stmt))
+        check_array_dimensions(nodes)
+        tables = self._referenced_tables(nodes)
         target = self.config.tables[stmt.relation.relname]
         if not target.distribution:
             raise unsupported(f"{tag} on reference table {target.name}")
@@ -375,9 +396,9 @@
         prepared = Prepared(
             text,
             tag,
-            parameter_types(stmt, self.config.tables, oids),
+            parameter_types(nodes, self.config.tables, oids),
             writes=True,
-            volatile_function=_find_volatile_function(stmt),
+            volatile_function=_find_volatile_function(nodes),
             tables=tuple(t.name for _, t in tables),
             returns_rows=bool(
                 getattr(stmt, "returningList", None) or getattr(stmt, "returningClause", None)
@@ -442,23 +463,29 @@
                     f"an expression for the distribution column {table.column}"
                 ) from None
 
+        distinct_values = _without_repeated_parameters(row_values)
+
         def shards(values: Sequence[object]) -> set[int]:
             found = set()
-            for item in row_values:
+            for item in distinct_values:
                 value = values[item[1] - 1] if isinstance(item, tuple) else item
                 try:
                     key_value = canonical_value(distribution, value)
                     if key_value is None:
+                        types.to_integer(distribution.type_oid, value)
                         raise ValueError
                     found.add(shard_of(distribution, key_value, self.config.store.shards))
                 except NoShardError:
                     raise PgError(
-                        NO_SHARD, f"no shard takes {table.column} = {value!r} of {table.name}"
+                        NO_SHARD,
+                        f"no shard takes {table.column} = {types.shortened(value)} of {table.name}",
                     ) from None
-                except (ValueError, ArithmeticError, TypeError):
+                except (ValueError, TypeError):
                     state = "23502" if value is None else "22P02"
                     raise PgError(
-                        state, f"invalid value of the distribution column {table.column}: {value!r}"
+                        state,
+                        f"invalid value of the distribution column {table.column}: "
+                        f"{types.shortened(value)}",
                     ) from None
             return found
 
@@ -478,7 +505,8 @@
                 self.config, (stmt.relation, *(other_items or ())), stmt.whereClause, strict=True
             ),
         )
-        return lambda values: set.union(*pruner.shards(values))
+        shards = self.config.store.shards
+        return lambda values: set.union(*pruner.shards(ParameterShards(values, shards)))
 
     # --- explain ----------------------------------------------------------------------
 
@@ -496,6 +524,31 @@
         return Prepared(text, "EXPLAIN", inner.oids, None, explain=inner, fields=fields)
 
 
+def _without_repeated_parameters(items: Sequence[object]) -> list:
+    """Returns literals, and each parameter, a tuple, once: it may have megabytes."""
+    parameters: set[tuple] = set()
+    found = []
+    for item in items:
+        if isinstance(item, tuple):
+            if item in parameters:
+                continue
+            parameters.add(item)
+        found.append(item)
+    return found
+
+
+def _render_with_schema(stmt: ast.Node, tables: Sequence[ast.RangeVar], schema: str) -> str:
+    """Returns the SQL of a tree in which these tables have another schema."""
+    saved = [(node, node.schemaname) for node in tables]
+    for node in tables:
+        node.schemaname = schema
+    try:
+        return to_sql(stmt)
+    finally:
+        for node, old_schema in saved:
+            node.schemaname = old_schema
+
+
 def explain_lines(
     prepared: Prepared,
     values: Sequence[object],
@@ -571,7 +624,7 @@
     raise PgError(FEATURE_NOT_SUPPORTED, f"{name} is not supported")
 
 
-def _find_volatile_function(stmt: ast.Node) -> str:
+def _find_volatile_function(stmt: FlatTree) -> str:
     for node in walk(stmt):
         if isinstance(node, ast.FuncCall) and function_name(node) not in SIDE_EFFECT_FREE_FUNCTIONS:
             return function_name(node)
--- a/tansycrank/sql/scope.py
+++ b/tansycrank/sql/scope.py
@@ -8,14 +8,13 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from decimal import InvalidOperation
 
 from pglast import ast
 from pglast.enums import A_Expr_Kind, JoinType
 
 from tansycrank.config import Config, Distribution, Table
 from tansycrank.postgres.errors import PgError, unsupported
-from tansycrank.sql.shards import NoShardError, canonical_value, shard_of
+from tansycrank.sql.shards import ParameterShards, shards_of_values
 from tansycrank.sql.tree import NotConstantError, column_name, conjuncts, constant, is_op
 
 Values = list  # literals, ("param", n), or ("params", n) for an array parameter
@@ -270,43 +269,35 @@
         ]
         self._colocated = scope.colocated()  # otherwise tables may need different shards
 
-    def shards(self, values: Sequence[object]) -> list[set[int]]:
+    def shards(self, parameters: ParameterShards) -> list[set[int]]:
         """Returns the required shards of each distributed table; colocated tables share one set."""
-        all_shards = set(range(self._config.store.shards))
         found = []
         for distribution, terms in self._constraints:
-            candidates = set(all_shards)
+            candidates = set(range(parameters.shards))
             for term in terms:
-                candidates &= self._shards_of_condition(distribution, term, values, all_shards)
+                shards = _shards_of_condition(distribution, term, parameters)
+                if shards is not None:
+                    candidates &= shards
             found.append(candidates)
         if self._colocated and found:
             return [set.intersection(*found)] * len(found)
         return found
 
-    def _shards_of_condition(
-        self, distribution: Distribution, term: list, values: Sequence[object], all_shards: set[int]
-    ) -> set[int]:
-        shards: set[int] = set()
-        for value in term:
-            items = [value]
-            if isinstance(value, tuple):
-                kind, number = value
-                items = [values[number - 1]]
-                if kind == "params":
-                    items = (
-                        items[0] if isinstance(items[0], list) else [] if items[0] is None else None
-                    )
-                if items is None:
-                    return all_shards
-            for item in items:
-                if item is None:
-                    continue  # NULL is not equal to any value
-                try:
-                    key_value = canonical_value(distribution, item)
-                    if key_value is not None:
-                        shards.add(shard_of(distribution, key_value, self._config.store.shards))
-                except NoShardError:
-                    continue
-                except (ValueError, OverflowError, InvalidOperation, PgError):
-                    return all_shards
-        return shards
+
+def _shards_of_condition(
+    distribution: Distribution, term: list, parameters: ParameterShards
+) -> set[int] | None:
+    """Returns the shards of any of these values; None means all shards."""
+    found: set[int] = set()
+    for value in term:
+        if isinstance(value, tuple):
+            kind, number = value
+            shards = parameters.of(distribution, number, kind == "params")
+        else:
+            shards = shards_of_values(distribution, (value,), parameters.shards)
+        if shards is None:
+            return None
+        found |= shards
+        if len(found) == parameters.shards:
+            break
+    return found
--- a/tansycrank/sql/tree.py
+++ b/tansycrank/sql/tree.py
@@ -4,23 +4,45 @@
 
 from collections.abc import Iterator
 from decimal import Decimal
+from functools import cache
 
 from pglast import ast
 from pglast.enums import A_Expr_Kind
 
 from tansycrank.postgres import types
 
+WITH_NODES = (ast.Node, tuple, list)  # types of values that are or hold nodes
+INTEGER_PREFIXES = ("0x", "0o", "0b")  # of integers that are not decimal
+
+
+class FlatTree(tuple):
+    """All nodes of a tree in the order of `walk`, for a statement that is searched repeatedly."""
+
+    __slots__ = ()
+
 
 def walk(node: object) -> Iterator[ast.Node]:
-    """Yields this node and all nodes below it, in source order."""
+    """Yields this node and all nodes below it, in source order; the nodes of a `FlatTree`."""
+    return iter(node) if isinstance(node, FlatTree) else _walk_tree(node)
+
+
+def _walk_tree(node: object) -> Iterator[ast.Node]:
     stack = [node]
     while stack:
         current = stack.pop()
-        if isinstance(current, tuple | list):
-            stack.extend(reversed(current))
-        elif isinstance(current, ast.Node):
+        if isinstance(current, ast.Node):
             yield current
-            stack.extend(getattr(current, slot) for slot in reversed(current.__slots__))
+            children = [getattr(current, slot) for slot in _slots_from_last(type(current))]
+        elif isinstance(current, tuple | list):
+            children = reversed(current)
+        else:
+            continue
+        stack += [child for child in children if isinstance(child, WITH_NODES)]
+
+
+@cache
+def _slots_from_last(node_type: type) -> tuple[str, ...]:
+    return tuple(reversed(node_type.__slots__))
 
 
 def contains(node: object, *kinds: type) -> bool:
@@ -92,7 +114,7 @@
     """Returns the value of a literal: int, Decimal, str, bool or None.
 
     A cast of a literal to text, an integer type or uuid is evaluated too. Raises NotConstantError
-    for any other expression.
+    for any other expression, and PgError 22003 or 22P02 for a literal that its type cannot have.
     """
     if (
         isinstance(node, ast.TypeCast)
@@ -104,8 +126,10 @@
             raise NotConstantError
         if oid in types.TEXT_TYPES and isinstance(value, str):
             return value
-        if oid in types.INTEGER_TYPES and isinstance(value, int | str):
-            return int(value)
+        if oid in types.INTEGER_TYPES and isinstance(value, int):
+            return types.check_integer(oid, value)
+        if oid in types.INTEGER_TYPES and isinstance(value, str):
+            return types.decode(oid, 0, value.encode())
         if oid == types.UUID and isinstance(value, str):
             return value
         raise NotConstantError
@@ -117,9 +141,20 @@
     if isinstance(value, ast.Integer):
         return value.ival
     if isinstance(value, ast.Float):
-        return Decimal(value.fval)
+        return _number(value.fval)
     if isinstance(value, ast.Boolean):
         return bool(value.boolval)
     if isinstance(value, ast.String):
         return value.sval
     raise NotConstantError
+
+
+def _number(text: str) -> Decimal | int:
+    """Returns the value of a number that the parser left as text: too large for it, or a fraction.
+
+    Raises PgError 22003.
+    """
+    is_prefixed = text[:2].lower() in INTEGER_PREFIXES
+    return (
+        types.check_integer(types.INT8, int(text, 0)) if is_prefixed else types.parse_numeric(text)
+    )
--- a/tansycrank/sql_router/connection_pool.py
+++ b/tansycrank/sql_router/connection_pool.py
@@ -12,10 +12,12 @@
 from tansycrank.lifecycle import Attempt
 from tansycrank.merge.blocks import ShardRowStream
 from tansycrank.pending_notifications import PendingNotifications
+from tansycrank.postgres.errors import REJECTED_BEFORE_RUN, PgError
 from tansycrank.routing import Outcome
 from tansycrank.single_connection import SingleConnectionFactory
-from tansycrank.sql_router.node_connection import NodeConnection, login_failure_outcome
+from tansycrank.sql_router.node_connection import NodeConnection
 from tansycrank.sql_router.node_messages import ConnectionState
+from tansycrank.sql_router.row_wait import RowWaitLimit
 from tansycrank.sql_router.shard_statement import AttemptResult, ShardStatement
 
 # The least time a call may wait for its connection, in mean login times: a login takes several
@@ -45,7 +47,7 @@
         return cls(endpoint, statement, None, lambda ended: None, None, ended=True)
 
     def cancel_timeout(self) -> None:
-        """Cancel the timeout of an attempt that ended or whose rows are being streamed."""
+        """Cancel the limit on the time of an attempt, or on the wait for its rows."""
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
 
@@ -149,8 +151,10 @@
 
         The call ends as never executed if it waits longer for its connection than
         `connect_wait_ms` or `MIN_CONNECT_WAIT_LOGINS` mean login times, whichever is longer.
-        A `timeout_ms` or `connect_wait_ms` of 0 sets no limit.
+        A `timeout_ms` or `connect_wait_ms` of 0 sets no limit. Raises PgError, with nothing
+        changed, for a statement that cannot be encoded.
         """
+        statement.check_encodable()
         call = OutgoingCall(endpoint, statement, stream, done, attempt)
         node = self.nodes.get(endpoint)
         if node is None:
@@ -178,6 +182,14 @@
         """Cancel a call; it ends as not sent if it has no connection yet."""
         self._stop(call, Outcome.CANCELLED, Outcome.NOT_SENT)
 
+    def limit_row_wait(self, call: OutgoingCall, limit_ms: float) -> None:
+        """Limit the wait for each row of a call, instead of the time until its end.
+
+        For a call whose rows are streamed to the client; it ends as timed out.
+        """
+        call.cancel_timeout()
+        call.timer = RowWaitLimit(self.reactor, limit_ms, call, self._on_timeout)
+
     def _on_connect_timeout(self, call: OutgoingCall) -> None:
         """End a call that waited too long; its connection, once open, serves another call."""
         self._stop(call, Outcome.CONNECT_FAILED, Outcome.CONNECT_FAILED)
@@ -244,7 +256,7 @@
             starting = sum(one.state is ConnectionState.STARTING for one in node.connections)
             while len(node.waiting) > starting:  # the call that this connection was opened for
                 node.waiting.pop(0).finish(
-                    AttemptResult(login_failure_outcome(login_error), error=login_error)
+                    AttemptResult(_login_failure_outcome(login_error), error=login_error)
                 )
 
         connection.on_ready, connection.on_lost = ready, lost
@@ -252,3 +264,12 @@
         self.reactor.connectTCP(
             node.host, node.port, factory, timeout=self.store.connect_timeout_ms / 1000
         )
+
+
+def _login_failure_outcome(login_error: PgError | None) -> Outcome:
+    """Return the outcome of a call whose connection never became ready."""
+    return (
+        Outcome.REJECTED
+        if login_error is not None and login_error.state in REJECTED_BEFORE_RUN
+        else Outcome.CONNECT_FAILED
+    )
--- a/tansycrank/sql_router/coordinator.py
+++ b/tansycrank/sql_router/coordinator.py
@@ -7,70 +7,33 @@
 
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 
 from tansycrank import routing
 from tansycrank.lifecycle import (
     AnswerKind,
-    Attempt,
     AttemptDeniedError,
     Lifecycle,
-    Query,
     Violation,
 )
-from tansycrank.merge.blocks import MemoryReservations, QueryMemory, ShardRowStream
+from tansycrank.merge.blocks import MemoryReservations, ShardRowStream
 from tansycrank.policy_event_loop import PolicyEventLoop
 from tansycrank.postgres.errors import (
     INTERNAL,
-    QUERY_FAILED,
     QUERY_REJECTED,
-    RESULT_INCOMPLETE,
     PgError,
     cancelled,
 )
 from tansycrank.routing import FailureReason
 from tansycrank.sql_router.connection_pool import ConnectionPool, OutgoingCall
+from tansycrank.sql_router.query_errors import (
+    broken_off_error,
+    error_of_failed_action,
+    outcome_unknown_error,
+)
+from tansycrank.sql_router.routed_query import RoutedQuery, ShardRequest
 from tansycrank.sql_router.shard_statement import AttemptResult, ShardStatement
 
 
-@dataclass(slots=True, eq=False)
-class ShardRequest:
-    """A shard request and its attempts; the lists hold one item per attempt, in order."""
-
-    id: int
-    statement: ShardStatement
-    attempts: list[OutgoingCall] = field(default_factory=list)
-    # None for a denied attempt
-    lifecycle_attempts: list[Attempt | None] = field(default_factory=list)
-    sent_at: list[float] = field(default_factory=list)
-    answer: ShardRowStream | None = None  # rows of the attempt that answers, complete or streaming
-    oids: tuple[int, ...] = ()
-
-
-@dataclass(slots=True, eq=False)
-class RoutedQuery:
-    """A query that the routing policy routes.
-
-    `done` is called exactly once: with the shard requests in order, or with an error.
-    """
-
-    id: int
-    number: int
-    query_class: int
-    shard_requests: list[ShardRequest]
-    memory: QueryMemory
-    done: Callable[[list[ShardRequest] | PgError], None]
-    arrived_at: float
-    lifecycle_query: Query
-    attempt_history: list[tuple] = field(default_factory=list)  # (shard, endpoint, outcome, ms)
-    given_up: FailureReason | None = None
-
-    @property
-    def ended(self) -> bool:
-        """Whether it has been answered or abandoned."""
-        return not self.lifecycle_query.is_open
-
-
 class Coordinator:
     """Connects the routing policy to the sockets. Times are ms of the reactor's clock."""
 
@@ -91,6 +54,8 @@
             settings,
         )
         self.on_violation: Callable[[Violation], None] = lambda violation: None  # for the log
+        # called with what failed, to log it
+        self.on_fault: Callable[[str, Exception], None] = lambda what, error: None
         self.lifecycle = Lifecycle(settings, lambda violation: self.on_violation(violation))
         self.on_watch, self.on_policy_error = on_watch, on_policy_error
         self.queries: dict[int, RoutedQuery] = {}
@@ -114,7 +79,9 @@
             routing.CloseIdleConnections: self._close_idle,
             routing.WatchEndpoints: lambda action: self.on_watch(action.on),
         }
-        self.loop = PolicyEventLoop(reactor, settings, seed, handlers, self._on_policy_error)
+        self.loop = PolicyEventLoop(
+            reactor, settings, seed, handlers, self._on_policy_error, self._on_action_failed
+        )
 
     @property
     def now(self) -> float:
@@ -144,10 +111,13 @@
         done: Callable[[list[ShardRequest] | PgError], None],
         is_retry: bool = False,
         streams_rows: bool = False,
+        row_wait_ms: float = 0.0,
     ) -> RoutedQuery:
         """Accept a query. `remaining` is the time until its deadline, in ms.
 
-        With `streams_rows`, rows may be sent to the client before its shard requests are complete.
+        With `streams_rows`, rows may be sent to the client before its shard requests are complete;
+        from then on no data node may let it wait for longer than `row_wait_ms` for its next row.
+        0 stands for `remaining`.
         """
         self._last_id += 1
         query_id = number = self._last_id
@@ -170,6 +140,7 @@
             done,
             now,
             lifecycle_query,
+            row_wait_ms or remaining,
         )
         query.memory.on_rejected = lambda problem: self._on_memory_rejected(query, problem)
         query.memory.on_streaming = lambda stream: self._on_streaming_started(query, stream)
@@ -207,6 +178,35 @@
             self._fail_query(query, PgError(INTERNAL, "the router's decision module failed"))
         self.on_policy_error(error)
 
+    def _on_action_failed(self, action: routing.Action, error: Exception) -> None:
+        """Fail the query of an action that raised an exception; all others go on."""
+        self.on_fault(type(action).__name__, error)
+        query, shard_request = self._shard_requests.get(
+            getattr(action, "shard_request", 0), (None, None)
+        )
+        query = query or self.queries.get(getattr(action, "query", 0))
+        if isinstance(action, routing.Send):  # the policy expects AttemptEnded for each Send
+            self._end_failed_send(action, shard_request)
+        if query is not None and not query.ended:
+            self.loop.enqueue(routing.QueryCancelled(query.id))
+            self._fail_query(query, error_of_failed_action(query, error))
+
+    def _end_failed_send(self, action: routing.Send, shard_request: ShardRequest | None) -> None:
+        """Report an attempt that could not be sent; it may have run if it had been started."""
+        number, outcome = 0, routing.Outcome.NOT_SENT
+        if shard_request is not None:
+            number = len(shard_request.attempts)
+            call = OutgoingCall.denied(action.endpoint, shard_request.statement)
+            shard_request.attempts.append(call)
+            attempt = shard_request.pad_attempts(self.now)
+            if attempt is not None and attempt.started_at is not None:
+                outcome = routing.Outcome.CONNECTION_LOST
+            if attempt is not None:
+                attempt.end(outcome, self.now)
+        self.loop.enqueue(
+            routing.AttemptEnded(action.shard_request, number, action.endpoint, outcome, 0.0)
+        )
+
     # --- actions --------------------------------------------------------------------------
 
     def _send(self, action: routing.Send) -> None:
@@ -268,7 +268,7 @@
                     and not call.ended
                 ):
                     shard_request.answer, stream.committed = stream, True
-                    call.cancel_timeout()
+                    self.pools.limit_row_wait(call, query.row_wait_ms)
                     latency = self.now - shard_request.sent_at[number]
                     self.loop.enqueue(
                         routing.ResponseStarted(shard_request.id, number, call.endpoint, latency)
@@ -315,26 +315,33 @@
         if result.outcome is routing.Outcome.SUCCEEDED:
             stream.finish(result.error)
             return
-        problem = PgError(
-            RESULT_INCOMPLETE,
-            "the answer broke off: the rows before this error are not the whole",
-            hint="ask again; a replica was lost while its rows were on their way",
-        )
-        stream.finish(problem)
+        if stream.state != "open":  # it was ended with the others of its query
+            return
+        problem = broken_off_error(query, stream.shard, result.outcome)
+        self._end_streams(query, problem)
         if not query.ended:
             self.loop.enqueue(routing.QueryCancelled(query.id))
             self._fail_query(query, problem)
 
+    def _end_streams(self, query: RoutedQuery, problem: PgError) -> None:
+        """End the streamed rows of a query with an error, and what its data nodes still run."""
+        calls = [
+            call
+            for shard_request in query.shard_requests
+            for call in shard_request.attempts
+            if call.stream is not None
+        ]
+        for call in calls:
+            call.stream.finish(problem)
+        for call in calls:
+            self.pools.cancel(call)
+
     def _on_memory_rejected(self, query: RoutedQuery, problem: PgError) -> None:
         if not query.ended:
             self.loop.enqueue(routing.QueryCancelled(query.id))
             self._fail_query(query, problem)
         else:  # its rows are being streamed to the client
-            for shard_request in query.shard_requests:
-                for call in shard_request.attempts:
-                    if call.stream is not None:
-                        call.stream.finish(problem)
-                        self.pools.cancel(call)
+            self._end_streams(query, problem)
 
     def _cancel(self, action: routing.Cancel) -> None:
         if action.shard_request in self._shard_requests:
@@ -401,16 +408,10 @@
                 self._shard_requests.pop(shard_request.id, None)
         if isinstance(answer, PgError):
             query.memory.close()
-        query.done(answer)
+        try:
+            query.done(answer)
+        except Exception as error:  # whoever closes it may have other queries to close
+            self.on_fault("answer", error)
 
     def _close_idle(self, action: routing.CloseIdleConnections) -> None:
         self.pools.close_idle(action.endpoint)
-
-
-def outcome_unknown_error() -> PgError:
-    """Return the error for a query that may or may not have been executed."""
-    return PgError(
-        QUERY_FAILED,
-        "given up: it may or may not have taken effect",
-        hint="look whether it did before you try again",
-    )
--- a/tansycrank/sql_router/node_connection.py
+++ b/tansycrank/sql_router/node_connection.py
@@ -13,12 +13,12 @@
 from twisted.protocols.basic import LineReceiver
 
 from tansycrank.lifecycle import Attempt
+from tansycrank.listening import unread_bytes
 from tansycrank.merge.blocks import ShardRowStream
 from tansycrank.pending_notifications import PendingNotifications
 from tansycrank.postgres import messages as pg
 from tansycrank.postgres.errors import (
     FEATURE_NOT_SUPPORTED,
-    REJECTED_BEFORE_RUN,
     PgError,
     ProtocolError,
 )
@@ -39,6 +39,7 @@
     ROW_DESCRIPTION,
     ConnectionState,
 )
+from tansycrank.sql_router.result_check import ResultCheck
 from tansycrank.sql_router.shard_statement import AttemptResult, ShardStatement
 
 READ_BUFFER_BYTES = 16 * 1024
@@ -75,6 +76,7 @@
         self._done: Callable[[AttemptResult], None] | None = None
         self._result = AttemptResult(Outcome.SUCCEEDED)
         self._stream: ShardRowStream | None = None
+        self._check: ResultCheck | None = None  # of the running request
         self._hold_requested = self._is_paused = False  # requested by the stream; applied
         # Whether received bytes are being parsed, and whether the pool is told of the idle
         # connection once they are.
@@ -122,6 +124,10 @@
         self._set_reading()
         return False
 
+    def end_after_fault(self, error: Exception) -> None:
+        """Close the connection after an exception while its buffered data was parsed."""
+        self.abort()
+
     def _read(self, data: bytes) -> None:
         self._is_reading = True
         try:
@@ -173,6 +179,11 @@
 
     # --- for the pool -----------------------------------------------------------------
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes of the node have arrived that were not parsed yet."""
+        return bool(self._pending) or unread_bytes(self.transport.socket) > 0
+
     def run(
         self,
         request: ShardStatement,
@@ -188,6 +199,7 @@
         self.state, self._unsent_attempt = ConnectionState.BUSY, attempt
         self._done, self._result = done, AttemptResult(Outcome.SUCCEEDED)
         self._stream, stream.pause_reading = stream, self._set_hold
+        self._check = ResultCheck(request)
         self.transport.write(request.encode())
 
     def may_write(self) -> bool:
@@ -332,6 +344,8 @@
         self.on_lost(self, self.login_error)
 
     def _on_message(self, kind: int, message: bytes) -> None:
+        if self._check is not None:
+            self._check.add(kind)
         if kind == READY_FOR_QUERY:
             self._on_ready_for_query()
         elif kind == COMMAND_COMPLETE:
@@ -367,6 +381,8 @@
         elif self.state is ConnectionState.CANCELLING:
             self._on_cancelled()
         elif self.state is ConnectionState.BUSY:
+            if self._result.error is None:
+                self._check.check_whole(self._stream)
             ended, self.state = self._result, ConnectionState.IDLE
             problem = ended.error
             if problem is not None and not problem.is_query_fault:
@@ -374,12 +390,3 @@
             self._finish(ended)
             if self.state is ConnectionState.IDLE:
                 self._announce_ready()
-
-
-def login_failure_outcome(login_error: PgError | None) -> Outcome:
-    """Return the outcome of a call whose connection never became ready."""
-    return (
-        Outcome.REJECTED
-        if login_error is not None and login_error.state in REJECTED_BEFORE_RUN
-        else Outcome.CONNECT_FAILED
-    )
--- a/tansycrank/sql_router/node_messages.py
+++ b/tansycrank/sql_router/node_messages.py
@@ -11,6 +11,7 @@
 ROW_DESCRIPTION = ord("T")
 ERROR_RESPONSE = ord("E")
 PARAMETER_DESCRIPTION = ord("t")
+NO_DATA = ord("n")
 AUTHENTICATION = ord("R")
 BACKEND_KEY_DATA = ord("K")
 COPY_RESPONSES = tuple(b"GHW")  # CopyIn, CopyOut, CopyBoth
--- a/tansycrank/sql_router/parameters.py
+++ b/tansycrank/sql_router/parameters.py
@@ -3,34 +3,77 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Sequence
 
 import xxhash
 
 from tansycrank.admission.identity import CallerIdentity
 from tansycrank.postgres import types
-from tansycrank.postgres.errors import PgError
+from tansycrank.postgres.errors import TOO_LARGE, PgError
+from tansycrank.postgres.types.arrays import MAX_ELEMENTS
 from tansycrank.sql.plan import Prepared
 
 LITERAL = re.compile(r"'(?:[^']|'')*'|\b\d+\b")
 
 
-def decode_parameters(prepared: Prepared, values, formats) -> list[object]:
-    """Decode the parameters of a statement. Raises PgError 08P01, 22P02, 22P03."""
+class DecodedParameters(Sequence[object]):
+    """The parameters of a statement, each decoded when it is first read, and once.
+
+    The router needs those that select shards, limit rows or stand in a merged result; the others
+    are for data nodes alone.
+    """
+
+    def __init__(
+        self, oids: Sequence[int], codes: Sequence[int], values: Sequence[bytes | None]
+    ) -> None:
+        self._encoded = list(zip(oids, codes, values, strict=True))
+        self._decoded: dict[int, object] = {}
+        self._elements = 0  # of arrays, as far as they are read one by one
+
+    def __len__(self) -> int:
+        return len(self._encoded)
+
+    def __getitem__(self, index: int) -> object:
+        """Return a decoded value. Raises PgError 22P02, 22P03, 22003 or 54000."""
+        if index not in self._decoded:
+            self._decoded[index] = self._decode(*self._encoded[index])
+        return self._decoded[index]
+
+    def _decode(self, oid: int, code: int, value: bytes | None) -> object:
+        if value is None or (oid == 0 and code == 1):  # only the data node knows its type
+            return value
+        decoded = types.decode(oid or types.TEXT, code, value)
+        if isinstance(decoded, list):
+            self._elements += _slow_elements(oid, decoded)
+            if self._elements > MAX_ELEMENTS:
+                raise PgError(TOO_LARGE, f"arrays of over {MAX_ELEMENTS} elements in all")
+        return decoded
+
+
+def _slow_elements(oid: int, array: list) -> int:
+    """Return how many elements of an array were read one by one, not all at once."""
+    is_flat = not any(isinstance(element, list) for element in array[:1])
+    is_read_at_once = types.ARRAY_ELEMENTS[oid] in types.INTEGER_TYPES and is_flat
+    if is_read_at_once and None not in array:
+        return 0
+    return _count_elements(array)
+
+
+def _count_elements(array: list) -> int:
+    if not any(isinstance(element, list) for element in array[:1]):
+        return len(array)
+    return sum(_count_elements(inner) for inner in array if isinstance(inner, list))
+
+
+def decode_parameters(prepared: Prepared, values, formats) -> DecodedParameters:
+    """Return the parameters of a statement. Raises PgError 08P01 for another number of them."""
     if len(values) != len(prepared.oids):
         raise PgError(
             "08P01",
             f"the statement needs {len(prepared.oids)} parameters, the client gave {len(values)}",
         )
     codes = formats * len(values) if len(formats) == 1 else formats or (0,) * len(values)
-    decoded = []
-    for oid, code, value in zip(prepared.oids, codes, values, strict=True):
-        if value is None:
-            decoded.append(None)
-        elif oid == 0 and code == 1:
-            decoded.append(value)  # only the data node knows its type
-        else:
-            decoded.append(types.decode(oid or types.TEXT, code, value))
-    return decoded
+    return DecodedParameters(prepared.oids, codes, values)
 
 
 def query_hash(caller_id: CallerIdentity, sql: str, values: tuple[bytes | None, ...]) -> int:
--- a/tansycrank/sql_router/service.py
+++ b/tansycrank/sql_router/service.py
@@ -24,8 +24,14 @@
 from tansycrank.postgres.messages import Field, data_row
 from tansycrank.sql.plan import Prepared
 from tansycrank.sql.planner import Planner, explain_lines
-from tansycrank.sql_router.coordinator import Coordinator, RoutedQuery, ShardRequest
-from tansycrank.sql_router.parameters import decode_parameters, query_hash, statement_hash
+from tansycrank.sql_router.coordinator import Coordinator
+from tansycrank.sql_router.parameters import (
+    DecodedParameters,
+    decode_parameters,
+    query_hash,
+    statement_hash,
+)
+from tansycrank.sql_router.routed_query import RoutedQuery, ShardRequest
 from tansycrank.sql_router.session_settings import (
     FORM_LABELS,
     QueryForm,
@@ -37,11 +43,16 @@
 )
 from tansycrank.sql_router.shard_statement import ShardStatement
 
-# A text of exactly one statement that goes to data nodes
-SINGLE_STATEMENT = re.compile(r"\s*(?:select|insert|update|delete|with)\b[^;]*;?\s*$", re.I)
+DATA_STATEMENT = re.compile(r"\s*(?:select|insert|update|delete|with)\b", re.I)
 UNKNOWN_CALLER = Caller("", "", "")  # for requests without a session
-# Up to this total size, shard results are merged at once; larger ones in cooperative tasks.
-INLINE_MERGE_MAX_BYTES = 192 * 1024
+
+
+def is_single_data_statement(sql: str) -> bool:
+    """Whether a text is one statement that goes to data nodes, as far as told without parsing."""
+    if not DATA_STATEMENT.match(sql):
+        return False
+    _, _, rest = sql.partition(";")
+    return not rest or rest.isspace()
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +67,12 @@
     settings: Mapping[str, str] | None = None
     caller: Caller = UNKNOWN_CALLER
 
+    @property
+    def size(self) -> int:
+        """Characters of the statement and bytes of its parameters."""
+        values = sum(len(value) for value in self.values if value is not None)
+        return len(self.prepared.sql) + values
+
 
 @dataclass(slots=True)
 class RunningStatement:
@@ -138,8 +155,8 @@
 
     # --- running ------------------------------------------------------------------------
 
-    def decode_values(self, prepared: Prepared, values, formats) -> list[object]:
-        """Decode the parameters of a statement. Raises PgError 08P01, 22P02, 22P03."""
+    def decode_values(self, prepared: Prepared, values, formats) -> DecodedParameters:
+        """Return the parameters of a statement, decoded as they are read. Raises PgError 08P01."""
         return decode_parameters(prepared, values, formats)
 
     def run(
@@ -181,6 +198,11 @@
             )
             for p in shard_requests.shard_requests
         ]
+        try:
+            requests[0].check_encodable()  # all have the same counts
+        except PgError as problem:
+            done(problem)
+            return None
         arrived_at = self.coordinator.now
         streams_rows = (
             form == QueryForm.IDEMPOTENT and prepared.returns_rows and pipeline.streams(plan)
@@ -190,17 +212,25 @@
         def start(remaining: float, ended: Callable[[Result | PgError], None]) -> RoutedQuery:
             def finished(answer: list[ShardRequest] | PgError) -> None:
                 outcome = self._result(request, plan, values, answer, routed_query)
-                self._log_query(request, index, form, routed_query, outcome, arrived_at)
-                ended(outcome)
+                try:
+                    self._log_query(request, index, form, routed_query, outcome, arrived_at)
+                finally:
+                    ended(outcome)
 
             routed_query = self.coordinator.submit(
-                3 * index + form, remaining, requests, finished, is_retry, streams_rows
+                3 * index + form,
+                remaining,
+                requests,
+                finished,
+                is_retry,
+                streams_rows,
+                self.config.store.row_wait_ms or time_limit,
             )
             return routed_query
 
-        remaining = self._remaining_ms(index, settings)
+        time_limit = self._remaining_ms(index, settings)
         return self._enter(
-            request, settings, 3 * index + form, len(requests), remaining, start, done
+            request, settings, 3 * index + form, len(requests), time_limit, start, done
         )
 
     def reject_early(
@@ -215,7 +245,7 @@
         `values` are its parameters, which identify it to a reservation. Under overload, planning
         queries that are rejected in the end would take all of the router's CPU time.
         """
-        if not SINGLE_STATEMENT.match(sql):
+        if not is_single_data_statement(sql):
             return None
         caller_id = self.identity.identify(caller, settings.get("tansycrank.tenant", ""))
         if not self.admission.may_reject(caller_id.tenant):
@@ -247,7 +277,6 @@
         """Submit a query to admission control."""
         caller_id = self.identity.identify(request.caller, settings.get("tansycrank.tenant", ""))
         sql = request.prepared.sql
-        size = len(sql) + sum(len(value) for value in request.values if value is not None)
         return RunningStatement(
             self.admission.submit(
                 caller_id,
@@ -258,7 +287,7 @@
                 done,
                 statement=statement_hash(sql),
                 fingerprint=query_hash(caller_id, sql, request.values),
-                size=size,
+                size=request.size,
                 is_retry=is_repeat(settings),
                 session=request.caller.session,
             )
@@ -277,8 +306,7 @@
         shard_requests = [shard_request.answer for shard_request in answer]
         prepared = request.prepared
         try:
-            is_in_memory = all(p.state == "complete" and p.run is None for p in shard_requests)
-            if is_in_memory and sum(p.size for p in shard_requests) <= INLINE_MERGE_MAX_BYTES:
+            if pipeline.is_small(plan, shard_requests, request.size):
                 frames = [
                     [f for block in p.blocks for f in frames_of(block)] for p in shard_requests
                 ]
--- a/tansycrank/sql_router/shard_statement.py
+++ b/tansycrank/sql_router/shard_statement.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from tansycrank.postgres import messages as pg
-from tansycrank.postgres.errors import PgError
+from tansycrank.postgres.errors import TOO_LARGE, PgError
 from tansycrank.routing import Outcome
 
 REQUEST_KEY_SETTING = "tansycrank.request_key"
@@ -28,6 +28,18 @@
     key: str = ""
     describe: bool = False
 
+    def check_encodable(self) -> None:
+        """Raise PgError 54000 if a number of its messages does not fit into its field."""
+        for what, values in (
+            ("parameter types", self.oids),
+            ("parameters", self.values),
+            ("parameter formats", self.formats),
+            ("result formats", self.results),
+        ):
+            if len(values) > pg.MAX_COUNT:
+                message = f"{len(values)} {what}; a message holds {pg.MAX_COUNT}"
+                raise PgError(TOO_LARGE, message)
+
     def encode(self) -> bytes:
         """Return the protocol messages, up to and including Sync."""
         if self.describe:
--- a/tansycrank/testbed/node/batch.py
+++ b/tansycrank/testbed/node/batch.py
@@ -125,9 +125,12 @@
         verb = split_leading_comment(sql)[1].split(None, 1)[0].upper()
         if verb in WRITE_VERBS:
             return self._execute_write(sql, oids, values, key)
-        parameters = [
-            to_engine(oid or types.TEXT, value) for oid, value in zip(oids, values, strict=True)
-        ]
+        try:
+            parameters = [
+                to_engine(oid or types.TEXT, value) for oid, value in zip(oids, values, strict=True)
+            ]
+        except (ValueError, OverflowError) as error:
+            raise PgError("22003", f"a value that the engine does not hold: {error}") from None
         return self._node.engine.run(
             sql, parameters, bind.result_formats if bind is not None else ()
         )
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -60,7 +60,9 @@
     settings = routing.Settings(
         classes=(routing.QueryClass(latency_objective=100.0, deadline=200.0, priority_weight=1.0),)
     )
-    loop = PolicyEventLoop(reactor, settings, 1, {}, lambda error: pytest.fail(repr(error)))
+    loop = PolicyEventLoop(
+        reactor, settings, 1, {}, lambda error: pytest.fail(repr(error)), pytest.fail
+    )
     before = loop.now
     step_wall_clock(step)
     time.sleep(0.02)
--- a/tests/test_edge_forms.py
+++ b/tests/test_edge_forms.py
@@ -21,10 +21,10 @@
 
 SETTINGS_FILE = {
     "router": "me routers zone zones tick_ms seed stop_within_ms",
-    "listen": "host port max_sessions max_message max_statement max_prepared max_portals "
-    "max_pending max_held login_timeout_ms",
+    "listen": "host port max_sessions max_message max_statement max_tokens max_prepared "
+    "max_portals max_pending max_held login_timeout_ms",
     "store": "shards cells reach schema database user max_links connect_timeout_ms "
-    "cancel_grace_ms idle_link_ms",
+    "cancel_grace_ms idle_link_ms row_wait_ms",
     "merge": "process_bytes query_bytes max_row_bytes spill_dir spill_quota cursor_idle_ms "
     "max_cursors",
     "rules": "drain_grace_ms cold_multiple cold_window_ms cold_from cold_time_ms budget_floor "
@@ -55,14 +55,17 @@
     "42601",
     "42704",
     "42P01",
+    "42P02",
     "42P03",
     "42P05",
+    "42P18",
     "53200",
     "53300",
     "53400",
     "53T01",
     "54000",
     "54001",
+    "54011",
     "57014",
     "57P01",
     "57P03",
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -13,6 +13,7 @@
 from tansycrank.merge import operators as op
 from tansycrank.merge.blocks import MemoryReservations, ShardRowStream, frames_of
 from tansycrank.merge.pipeline import build
+from tansycrank.merge.sort_keys import sort_key_function
 from tansycrank.merge.spill import SpillSpace
 from tansycrank.merge.work import MergeScheduler, RowStream
 from tansycrank.postgres import types
@@ -78,7 +79,7 @@
         if small_limit
         else memory_reservations.open(False)
     )
-    key = op.sort_key_function((SortKey(0), SortKey(1)), FIELDS)
+    key = sort_key_function((SortKey(0), SortKey(1)), FIELDS)
     got = drain(
         op.external_sort(op.concat([shard_result(memory, rows) for rows in split]), key, memory)
     )
@@ -94,7 +95,7 @@
         16 * MIB, 8 * MIB, SpillSpace(str(tmp_path_factory.mktemp("s")), 0), lambda: 0.0
     )
     memory = memory_reservations.open(True)
-    key = op.sort_key_function((SortKey(0, descending, nulls_first),), FIELDS)
+    key = sort_key_function((SortKey(0, descending, nulls_first),), FIELDS)
 
     def rank(values):
         null = values[0] is None
@@ -114,8 +115,17 @@
     assert got == [(None if a is None else str(a), b) for a, b in expected]
 
 
+@given(ROWS, st.booleans())
+def test_a_key_of_columns_counted_from_either_end(rows, descending):
+    repeated = (SortKey(-1, descending), SortKey(1), SortKey(0), SortKey(-2, True))
+    once = (SortKey(1, descending), SortKey(0))
+    frames = [row(*values) for values in rows]
+    by_repeated, by_once = (sort_key_function(keys, FIELDS) for keys in (repeated, once))
+    assert sorted(frames, key=by_repeated) == sorted(frames, key=by_once)
+
+
 def test_unsorted_shard_result_is_an_error(memory_reservations):
-    key = op.sort_key_function((SortKey(0),), FIELDS)
+    key = sort_key_function((SortKey(0),), FIELDS)
     stream = shard_result(memory_reservations.open(True), [(n, "x") for n in (1, 2, 5, 4)], cut=2)
     with pytest.raises(PgError) as problem:
         drain(op.merge_sorted([op.shard_source(stream, key)]))
@@ -128,7 +138,7 @@
         16 * MIB, 8 * MIB, SpillSpace(str(tmp_path_factory.mktemp("s")), 0), lambda: 0.0
     )
     memory = memory_reservations.open(False)
-    key = op.sort_key_function((SortKey(0), SortKey(1)), FIELDS)
+    key = sort_key_function((SortKey(0), SortKey(1)), FIELDS)
     rows = op.top(
         op.concat([shard_result(memory, rows) for rows in split]), key, limit + offset, memory
     )
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -127,6 +127,14 @@
     assert bound.merge.hidden_columns == 1 and [k.column for k in bound.merge.sort] == [-1, 0]
 
 
+def test_equal_sort_expressions_are_one_column_and_one_key(planner):
+    """Guards against a shard's row that grows with each repetition of a sort expression."""
+    bound = bind(planner, "SELECT id FROM trips ORDER BY fare + 1, fare + 1 DESC, id, fare + 2, 1")
+    assert bound.merge.hidden_columns == 2
+    assert [key.column for key in bound.merge.sort] == [-2, 0, -1]
+    assert bound.shard_requests[0].sql.count("fare + 1") == 2  # selected, and sorted by
+
+
 def test_text_sort_keys_use_collation_c_on_data_nodes(planner):
     bound = bind(planner, "SELECT id, note FROM trips ORDER BY note LIMIT 5")
     assert 'ORDER BY note COLLATE "C" ASC NULLS LAST' in bound.shard_requests[0].sql
@@ -183,6 +191,7 @@
         ("SELECT random() FROM trips", "random()"),
         ("SELECT my_function(id) FROM trips", "my_function()"),
         ("SELECT id FROM trips ORDER BY id FETCH FIRST 3 ROWS WITH TIES", "WITH TIES"),
+        ("SELECT id FROM trips ORDER BY id, id USING <", "USING"),
         ("SELECT corr(fare, id) FROM trips", "corr"),
         (
             "SELECT percentile_cont(cab_id) WITHIN GROUP (ORDER BY fare) FROM trips",
@@ -273,3 +282,21 @@
     for number in range(planner_module.MAX_CACHED_TEXTS + 50):
         planner.plan_statements(f"SHOW a{number}")
     assert len(planner._cache) == planner_module.MAX_CACHED_TEXTS
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "tansycrank_shard_0",
+        "tansycrank_shard_01",
+        "tansycrank_shard_0 tansycrank_shard_10",
+        "tansycrank_shard_0_",
+        "tansycrank_shard_00_ tansycrank_shard_0_ tansycrank_shard_1_",
+    ],
+)
+def test_a_literal_that_looks_like_a_placeholder_keeps_its_text(planner, text):
+    """Guards against a literal in which a schema name is put for the beginning of its text."""
+    sql = f"SELECT id FROM trips WHERE note = '{text}' ORDER BY id"
+    (prepared,) = planner.plan_statements(sql)
+    for shard_request in prepared.bind([]).shard_requests:
+        assert f"'{text}'" in shard_request.sql
--- a/tests/test_sql_node_connection.py
+++ b/tests/test_sql_node_connection.py
@@ -1,7 +1,7 @@
 """Connections and pools: exactly one outcome per call, and what each outcome proves."""
 
 import pytest
-from helpers import LifecycleHarness
+from helpers import LifecycleHarness, settings
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from tansycrank.config import StoreSection
@@ -11,6 +11,7 @@
 from tansycrank.postgres.errors import PgError
 from tansycrank.routing import Outcome
 from tansycrank.sql_router.connection_pool import ConnectionPool
+from tansycrank.sql_router.coordinator import Coordinator
 from tansycrank.sql_router.node_messages import ConnectionState
 from tansycrank.sql_router.shard_statement import ShardStatement
 
@@ -38,7 +39,7 @@
     def __init__(self, max_row=1 << 20, **store):
         self.reactor = MemoryReactorClock()
         self.memory_reservations = MemoryReservations(
-            1 << 26, 1 << 24, SpillSpace("", 0), lambda: 0.0
+            1 << 26, 1 << 24, SpillSpace("", 0), lambda: self.reactor.seconds() * 1000
         )
         self.pools = ConnectionPool(self.reactor, StoreSection(**store), {"user": "x"}, max_row)
         self.streams = []
@@ -46,6 +47,18 @@
         self.pools.set_address(1, *ADDRESS)
         self.ended, self.connections = [], []
 
+    def coordinator(self, on_policy_error=pytest.fail):
+        """Return a coordinator that sends its shard requests to this pool."""
+        return Coordinator(
+            self.reactor,
+            settings(),
+            1,
+            self.pools,
+            self.memory_reservations,
+            lambda on: None,
+            on_policy_error,
+        )
+
     def send(self, statement=STATEMENT, timeout_ms=0.0, **bounds):
         stream = ShardRowStream(self.memory_reservations.open(False))
         self.streams.append(stream)
