Discovery: long lines and floods of lines hold no client

What callers saw: lines of a watch of discovery or of the feed, of 4 MB of brackets or quotes, or 400,000 tiny lines at once, held usual clients for seconds, and each line wrote to the log.

Cause: quadratic scans of what has arrived so far, and all lines of a read handled in one turn.

--- a/tansycrank/discovery/endpoint_file.py
+++ b/tansycrank/discovery/endpoint_file.py
@@ -75,7 +75,7 @@
                 self._schedule_poll(SETTLE_SECONDS)
                 return
             nodes = read_nodes(self.path)
-        except (OSError, ValueError, configparser.Error, EndpointFileError) as error:
+        except Exception as error:  # whatever a file does to its reader, it is polled again
             self._schedule_poll(POLL_INTERVAL_SECONDS)
             self._on_unreadable(error)
             return
--- a/tansycrank/discovery/feed_client.py
+++ b/tansycrank/discovery/feed_client.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import msgspec
-from twisted.internet.protocol import ClientFactory
-from twisted.protocols.basic import LineOnlyReceiver
+from twisted.internet.protocol import ClientFactory, Protocol
 
 from tansycrank.config import Config
 from tansycrank.discovery.endpoint_source import EndpointSource, UpdateCallback
@@ -25,34 +24,53 @@
     WatchRequested,
 )
 from tansycrank.json_input import JsonInputError, decode_json
-from tansycrank.pending_notifications import read_available
+from tansycrank.paced_lines import PacedLines
+from tansycrank.pending_notifications import READ_BYTES, read_available
 from tansycrank.routing import EndpointListKind, EndpointListUpdate
 
 CONNECT_TIMEOUT_SECONDS = 2
 _LINE_DECODER = msgspec.json.Decoder(FeedLine)
 
 
-class _FeedProtocol(LineOnlyReceiver):
+class _FeedProtocol(Protocol):
     """The connection to the feed."""
 
-    delimiter = b"\n"
-
     def __init__(self, feed: FeedClient, max_line_bytes: int) -> None:
-        self.feed, self.MAX_LENGTH = feed, max_line_bytes
+        self.feed, self._max_line_bytes = feed, max_line_bytes
         self.chunks_received = 0
+        self.lines = PacedLines(feed.reactor, self._on_line)
 
     def dataReceived(self, data: bytes) -> None:
-        """Split received data into lines."""
+        """Handle the lines that are complete; close the connection at one that is too long."""
         self.chunks_received += 1
-        super().dataReceived(data)
+        self.lines.feed(data)
+        if self.lines.unfinished_bytes > self._max_line_bytes:
+            self.lines.handle_all()
+            self._close_at_long_line()
+        self.lines.handle_for_turn(self.transport)
+
+    def send_line(self, line: bytes) -> None:
+        """Write a line."""
+        self.transport.write(line + b"\n")
+
+    def _close_at_long_line(self) -> None:
+        self.feed.log_problem(f"a line of over {self._max_line_bytes} bytes")
+        self.lines.close()
+        self.transport.abortConnection()
 
     def connectionMade(self) -> None:
         """Notify the view."""
+        self.transport.bufferSize = READ_BYTES
         self.feed.protocol = self
         self.feed.handle(ConnectionEstablished())
 
-    def lineReceived(self, line: bytes) -> None:
-        """Decode a line and pass it to the view."""
+    def _on_line(self, line: bytes) -> None:
+        """Decode a line and pass it to the view, unless the feed has left this connection."""
+        if self.feed.protocol is not self:
+            return
+        if len(line) > self._max_line_bytes:
+            self._close_at_long_line()
+            return
         try:
             decoded = decode_json(_LINE_DECODER, line)
         except JsonInputError:
@@ -61,6 +79,8 @@
 
     def connectionLost(self, reason=None) -> None:
         """Notify the view, unless it closed the connection itself."""
+        self.lines.handle_all()
+        self.lines.close()
         if self.feed.protocol is self:
             self.feed.protocol = None
             self.feed.handle(ConnectionLost())
@@ -108,7 +128,7 @@
     def read_available(self) -> None:
         """Handle lines that have arrived on the feed."""
         if self.protocol is not None:
-            read_available(self.protocol)
+            read_available(self.protocol, self.reactor.seconds)
 
     def handle(self, event: Event) -> None:
         """Pass one event to the view and carry out its actions."""
@@ -147,7 +167,7 @@
                 "version": request.version,
                 "epoch": request.epoch,
             }
-            self.protocol.sendLine(msgspec.json.encode(fields))
+            self.protocol.send_line(msgspec.json.encode(fields))
 
     def _log_update(self, update: EndpointListUpdate) -> None:
         if self.log and update.kind is not EndpointListKind.DELTA:
--- a/tansycrank/http_router/discovery_client.py
+++ b/tansycrank/http_router/discovery_client.py
@@ -83,7 +83,7 @@
         """Read the data that has arrived on the watch and the poll."""
         for exchange in (self.watch, self.poll):
             if exchange is not None:
-                read_available(exchange)
+                read_available(exchange, self._reactor.seconds)
 
     # --- ExchangeListener -----------------------------------------------------------------
 
--- a/tansycrank/http_router/discovery_exchange.py
+++ b/tansycrank/http_router/discovery_exchange.py
@@ -18,6 +18,8 @@
     decode_document,
 )
 from tansycrank.http_router.settings import EndpointListDocument
+from tansycrank.paced_lines import PacedLines
+from tansycrank.pending_notifications import READ_BYTES
 
 EXCHANGE_TIMEOUT_SECONDS = 2.0  # for a whole poll, and for the response headers of a watch
 HEARTBEAT_TIMEOUT_SECONDS = 3.0  # between lines on a watch; discovery sends a heartbeat every 2 s
@@ -57,7 +59,8 @@
         self.chunks_received = 0
         self._request, self._listener = request, listener
         self._parser = httptools.HttpResponseParser(self)
-        self._buffer = bytearray()
+        self.lines = PacedLines(reactor, self._read_line)  # of a watch
+        self._body = bytearray()  # of a poll
         self._head_bytes = 0  # bytes received that are neither body nor framing of chunks
         self._reader = DocumentReader()
         self._has_ok_status = False  # whether the response has status 200
@@ -71,6 +74,7 @@
 
     def connectionMade(self) -> None:
         """Send the request."""
+        self.transport.bufferSize = READ_BYTES
         self.transport.setTcpNoDelay(True)
         self.transport.write(self._request)
 
@@ -83,12 +87,14 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.end(False)
+            self._fail()
         if self._head_bytes > MAX_HEAD_BYTES:
-            self.end(False)
+            self._fail()
+        self.lines.handle_for_turn(self.transport)
 
     def connectionLost(self, reason=connectionDone) -> None:
         """End the exchange; a body without a length is complete only after an orderly close."""
+        self.lines.handle_all()
         if not self._has_body_length and reason.check(ConnectionDone):
             self.on_message_complete()
         self.end(False)
@@ -98,12 +104,18 @@
         if self.ended:
             return
         self.ended = True
+        self.lines.close()
         if self._timer.active():
             self._timer.cancel()
         if self.connector is not None:
             self.connector.disconnect()
         self._listener.on_end(self, succeeded)
 
+    def _fail(self) -> None:
+        """End the exchange after the lines that came before what is wrong."""
+        self.lines.handle_all()
+        self.end(False)
+
     # --- callbacks of httptools ---------------------------------------------------------
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -121,23 +133,23 @@
         self._head_bytes = max(self._head_bytes - CHUNK_FRAMING_BYTES, 0)
 
     def on_body(self, body: bytes) -> None:
-        """Process the complete lines of a watch, or buffer the body of a poll."""
+        """Add to the lines of a watch, or to the body of a poll."""
         self._head_bytes = max(self._head_bytes - len(body), 0)
         if not self._has_ok_status or self.ended:
             return
-        self._buffer += body
         if self.is_watch:
-            *lines, self._buffer = self._buffer.split(b"\n")
-            for line in lines:
-                self._read_line(line)
-        if len(self._buffer) > MAX_DOCUMENT_BYTES:
-            self.end(False)
+            self.lines.feed(body)
+        else:
+            self._body += body
+        if max(self.lines.unfinished_bytes, len(self._body)) > MAX_DOCUMENT_BYTES:
+            self._fail()
 
     def on_message_complete(self) -> None:
         """Process the body of a poll; the end of a watch is a failure."""
+        self.lines.handle_all()
         is_poll = self._has_ok_status and not self.is_watch
         if is_poll and not self.ended:
-            self._notify(self._buffer, decode_document)
+            self._notify(self._body, decode_document)
         self.end(is_poll)
 
     def _read_line(self, line: bytes) -> None:
--- a/tansycrank/http_router/document_reader.py
+++ b/tansycrank/http_router/document_reader.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import re
-
 import msgspec
 
 from tansycrank.errors import TansycrankError
@@ -12,8 +10,11 @@
 
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
 
+BLOCK_BYTES = 64 * 1024  # of a line that are split at quotation marks at once
+
 _DECODER = msgspec.json.Decoder(EndpointListDocument)
-_STRING_OR_BRACKET = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')  # skips brackets in strings
+_BRACKETS_AND_QUOTES = b'{}[]"'
+_OTHER_BYTES = bytes(byte for byte in range(256) if byte not in _BRACKETS_AND_QUOTES)
 
 
 class DocumentError(TansycrankError):
@@ -48,31 +49,47 @@
             if self._line_count:
                 raise DocumentError("empty line within a JSON document")
             return None
+        if not self._line_count:
+            return self._start(line)
         self._append(line)
         if self._depth > 0:
-            self._check_unfinished()
             return None
         complete, self._document = self._document, bytearray()
         self._line_count = self._depth = 0
         return decode_document(complete)
 
+    def _start(self, line: bytes) -> EndpointListDocument | None:
+        """Return the document of one line; else keep what may be its beginning."""
+        try:
+            return decode_json(_DECODER, line)
+        except JsonInputError as error:
+            if not error.is_truncated or bracket_depth(line) <= 0:
+                raise DocumentError(str(error)) from error
+        self._append(line)
+        return None
+
     def _append(self, line: bytes) -> None:
-        for token in _STRING_OR_BRACKET.findall(line):
-            self._depth += (token in b"{[") - (token in b"}]")
+        self._depth += bracket_depth(line)
         self._document += line + b"\n"
         self._line_count += 1
-
-    def _check_unfinished(self) -> None:
-        if len(self._document) > MAX_DOCUMENT_BYTES:
+        if self._depth > 0 and len(self._document) > MAX_DOCUMENT_BYTES:
             raise DocumentError("unfinished JSON document is too long")
-        if self._line_count == 1:
-            _check_beginning(self._document)
 
 
-def _check_beginning(line: bytes) -> None:
-    """Raise DocumentError if no valid document can begin with this line."""
-    try:
-        decode_json(_DECODER, line)
-    except JsonInputError as error:
-        if not error.is_truncated:
-            raise DocumentError(str(error)) from error
+def bracket_depth(line: bytes) -> int:
+    """Return the number of brackets that a line opens, less those it closes, outside of strings.
+
+    A string without an end runs to the end of the line. The work is linear in the line, and the
+    memory some times its bytes.
+    """
+    without_escapes = line.replace(b"\\\\", b"").replace(b'\\"', b"")
+    # Two adjacent quotation marks have nothing between them, within a string or outside.
+    marks = without_escapes.translate(None, _OTHER_BYTES).replace(b'""', b"")
+    depth = is_in_string = 0
+    for start in range(0, len(marks), BLOCK_BYTES):
+        pieces = marks[start : start + BLOCK_BYTES].split(b'"')
+        outside = b"".join(pieces[is_in_string::2])
+        opened = outside.count(b"{") + outside.count(b"[")
+        depth += opened - (len(outside) - opened)
+        is_in_string ^= (len(pieces) - 1) & 1
+    return depth
--- a/tansycrank/pending_notifications.py
+++ b/tansycrank/pending_notifications.py
@@ -10,8 +10,14 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from tansycrank.paced_lines import PacedLines
+
 MAX_UNREAD_SECONDS = 0.02  # for which an update may lie unread while requests are sent
-MAX_CHUNKS = 128  # per call, of 64 KiB each: more than the largest endpoint list
+READ_BYTES = 16 * 1024  # of a connection to discovery at once
+MAX_CHUNKS = 512  # per call, of `READ_BYTES` each: more than the largest endpoint list
+MAX_READ_SECONDS = MAX_UNREAD_SECONDS / 2  # per call, so that half of the time is left for requests
+# Per call, whatever time they take, as the process may be suspended meanwhile.
+MIN_CHUNKS, MIN_LINES = 4, 64
 
 
 class NotificationReceiver(Protocol):
@@ -19,13 +25,21 @@
 
     transport: object
     chunks_received: int
+    lines: PacedLines
+
 
+def read_available(receiver: NotificationReceiver, seconds: Callable[[], float]) -> None:
+    """Read what has arrived on a connection; the reactor handles its end.
 
-def read_available(receiver: NotificationReceiver) -> None:
-    """Read what has arrived on a connection; the reactor handles its end."""
-    for _ in range(MAX_CHUNKS):
+    `seconds` is the reactor's clock. Discovery that writes without end is left to the next turns.
+    """
+    until = seconds() + MAX_READ_SECONDS
+    lines_left = MIN_LINES
+    for chunk in range(MAX_CHUNKS):
+        lines_left -= receiver.lines.handle_until(until, lines_left)
+        is_enough = chunk >= MIN_CHUNKS or lines_left <= 0
         transport = receiver.transport
-        if transport is None or not transport.connected:
+        if (is_enough and seconds() >= until) or transport is None or not transport.connected:
             return
         before = receiver.chunks_received
         transport.doRead()
--- a/tansycrank/testbed/endpoint_feed.py
+++ b/tansycrank/testbed/endpoint_feed.py
@@ -2,7 +2,8 @@
 late on purpose.
 
 Feed: JSON a line, as `roster.view.FeedLine`. Control line: {"set": {node...}, "delay_ms": n}
-(true or false), {"silent": bool}, {"restart": true} (a new epoch that knows the list again).
+(true or false), {"silent": bool}, {"restart": true} (a new epoch that knows the list again),
+{"raw": text, "times": n} (text as it is, so often, to all that watch).
 """
 
 from __future__ import annotations
@@ -112,6 +113,9 @@
             roster.epoch, roster.version, roster.changes = roster.epoch + 1, 1, []
             for feed in list(roster.watchers):
                 feed.transport.abortConnection()
+        elif "raw" in order:
+            for feed in roster.watchers:
+                feed.transport.write(order["raw"].encode() * order["times"])
         self.sendLine(b'{"ok":true}')
 
 
--- a/tests/http_router/test_hostile_discovery.py
+++ b/tests/http_router/test_hostile_discovery.py
@@ -4,6 +4,7 @@
 import json
 import signal
 import time
+import tracemalloc
 
 import pytest
 from live import RouterHarness, config, entry, post
@@ -15,7 +16,12 @@
 
 from tansycrank.http_router import endpoint_directory
 from tansycrank.http_router import settings as configuration
-from tansycrank.http_router.document_reader import MAX_DOCUMENT_BYTES, DocumentError, DocumentReader
+from tansycrank.http_router.document_reader import (
+    MAX_DOCUMENT_BYTES,
+    DocumentError,
+    DocumentReader,
+    bracket_depth,
+)
 
 FLOOD_SECONDS = 3.0  # longer than an exchange without an answer may last
 FLOOD_BYTES = 400_000_000
@@ -71,6 +77,49 @@
     assert not live.watch.protocol.ended
 
 
+LONG_LINES = {
+    "strings": b'{"x": [' + b'"a",' * 500_000,
+    "brackets in strings": b'{"x": [' + b'"[[",[],' * 250_000,
+    "escaped quotes": b'{"x": "' + b'\\"' * 1_000_000,
+}
+
+
+@pytest.mark.parametrize("name", LONG_LINES)
+def test_a_long_line_of_an_unfinished_document_takes_little_memory_beside_its_bytes(name):
+    """Guards against an object for each string and bracket, in many times the bytes of a line."""
+    line = LONG_LINES[name]
+    reader = DocumentReader()
+    tracemalloc.start()
+    assert reader.feed(line) is None
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert peak < 5 * len(line)
+
+
+@pytest.mark.parametrize(
+    ("line", "depth"),
+    [
+        (b'{"a": [1, {"b": 2}', 2),
+        (b'"]]", {"[[": "\\\\"}', 0),
+        (b'["\\\\\\"]", "\\\\", {', 2),
+        (b'{"a": "[', 1),
+        (b'[""]["[""]"', 1),
+        (b"]}", -2),
+        (b'"' + b'[""]' * 40_000 + b'", [', 1),
+    ],
+)
+def test_brackets_count_outside_of_strings_alone(line, depth):
+    assert bracket_depth(line) == depth
+
+
+def test_a_list_of_several_lines_is_read_whatever_its_strings_hold():
+    """Guards against brackets in strings, which would end or continue a document."""
+    reader = DocumentReader()
+    lines = [b"{", b'"version": 5, "x": "}}",', b'"servers": [', b'], "y": "[\\\\\\""', b"}"]
+    assert [reader.feed(line) for line in lines[:-1]] == [None] * 4
+    assert reader.feed(lines[-1]).version == 5
+
+
 def test_an_unfinished_document_takes_no_more_memory_than_its_bytes():
     """Guards against lines of a byte each, kept one by one in many times their size."""
     reader = DocumentReader()
--- a/tests/test_feed_faults.py
+++ b/tests/test_feed_faults.py
@@ -2,7 +2,7 @@
 
 import msgspec
 from test_endpoint_view import FeedHarness, node, published_updates
-from twisted.internet.testing import StringTransport
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from tansycrank.discovery import feed_client, view_messages
 
@@ -13,11 +13,24 @@
     """The part of a `FeedClient` that its connection uses."""
 
     def __init__(self):
-        self.protocol, self.events = None, []
+        self.protocol, self.events, self.problems = None, [], []
+        self.reactor = MemoryReactorClock()
 
     def handle(self, event):
         self.events.append(event)
 
+    def log_problem(self, text):
+        self.problems.append(text)
+
+
+class AbortableTransport(StringTransport):
+    """A transport that notes its abort."""
+
+    aborted = False
+
+    def abortConnection(self):
+        self.aborted = True
+
 
 def test_a_line_nested_too_deep_counts_as_one_that_cannot_be_decoded():
     """Guards against a decoder's error that was not caught, which ended the connection."""
@@ -31,6 +44,16 @@
     assert [line and line.version for line in lines] == [None, None, 3]
 
 
+def test_a_line_that_is_too_long_ends_the_connection_whole_or_not():
+    """Guards against a feed whose line grows without end."""
+    for data in (b"x" * 2000, b"x" * 2000 + b"\n{}\n"):
+        feed, transport = RecordingFeed(), AbortableTransport()
+        protocol = feed_client._FeedProtocol(feed, 1000)
+        protocol.makeConnection(transport)
+        protocol.dataReceived(data)
+        assert transport.aborted and feed.problems
+
+
 def test_the_nodes_of_all_deltas_together_are_bounded():
     """Guards against deltas that each add nodes, without end."""
     feed = FeedHarness()  # at most 100 nodes
