--- a/tansycrank/cli.py
+++ b/tansycrank/cli.py
@@ -281,6 +281,30 @@
     _experiment("measure", name, as_json, seed, quick, out)
 
 
+@main.command()
+@click.option("--seed", "seeds", multiple=True, type=int, default=(1,), help="May be repeated.")
+@click.option("--seconds", default=30.0, show_default=True, help="How long each seed runs.")
+@click.option("--router", type=click.Choice(["sql", "platform"]), help="One of them; else both.")
+@click.option("--form", help="One form of the input alone, such as numbers, bind or answers.")
+def fuzz(seeds: tuple[int, ...], seconds: float, router: str | None, form: str | None) -> None:
+    """Play hostile input beside usual clients; exit code 1 if a check fails.
+
+    Statements, parameters and text on the feed for the SQL router; answers of data nodes and lines
+    of discovery for the platform's.
+    Checked after each input: the process is alive and under 200 MB, usual clients are answered
+    rightly within a second, the sender gets rows, an SQLSTATE or a status. Needs the developers'
+    packages.
+    """
+    from tansycrank.testbed.fuzz import run
+
+    routers = [one for one in run.ROUTERS if router in (None, one)]
+    routers = [one for one in routers if form is None or form in run.FORMS[one]]
+    if not routers:
+        raise click.BadParameter(f"{form!r}; there are: {run.FORMS}", param_hint="--form")
+    reports = [run.fuzz(one, seed, seconds, click.echo, form) for seed in seeds for one in routers]
+    sys.exit(0 if all(report.passed for report in reports) else 1)
+
+
 @main.command()
 @click.option(
     "--seed", "seeds", multiple=True, type=int, help="A seed to play; may be given many times."
