Fuzzer: a stand-in that a large parameter ends is no fault of the router

Evidence: the router's query log told "connect failed" after 0.5 ms for each attempt, the nodes' exit status was 3 and their journals 86 MB. Whether enough attempts were made depended on speed.

--- a/tansycrank/testbed/fuzz/platform_site.py
+++ b/tansycrank/testbed/fuzz/platform_site.py
@@ -228,6 +228,11 @@
         """Whether a request got its value or an honest error."""
         return told in ("right", "503", "504")
 
+    @staticmethod
+    def ended_stand_ins() -> list[str]:
+        """Return none: the stand-ins are threads of this process."""
+        return []
+
     def close(self) -> None:
         """End clients and processes."""
         for client in self.usual:
--- a/tansycrank/testbed/node/batch.py
+++ b/tansycrank/testbed/node/batch.py
@@ -14,13 +14,16 @@
 from tansycrank.sql_router.shard_statement import REQUEST_KEY_SETTING
 from tansycrank.testbed.engine import Rows, to_engine
 from tansycrank.testbed.node.interfaces import JournaledSession
+from tansycrank.testbed.node.journal import shortened
 from tansycrank.testbed.node.node import Node
 
+DATA_EXCEPTION = "22000"
 MAX_CACHED_ANSWERS = 1000
 WRITE_VERBS = ("INSERT", "UPDATE", "DELETE")
 SET_KEY_PREFIX = f"SET LOCAL {REQUEST_KEY_SETTING} = "
 JOURNAL_SQL_CHARACTERS = 300
 JOURNAL_VALUES = 9
+MAX_DECODED_BYTES = 128 * 1024  # of the values of a batch; more would hold the node for long
 
 
 class BatchAnswer(NamedTuple):
@@ -137,15 +140,15 @@
 
     def _execute_write(self, sql: str, oids: tuple[int, ...], values: list, key: str) -> Rows:
         store = self._node.write_store
-        texts = [
-            None if value is None else types.encode(oid or types.TEXT, 0, value).decode()
+        encoded = [
+            None if value is None else types.encode(oid or types.TEXT, 0, value)
             for oid, value in zip(oids, values, strict=True)
         ]
         write = {
             "shard": self._node.shard_of_sql(sql),
             "sql": sql,
             "key": key,
-            "values": texts,
+            "values": [None if value is None else value.decode() for value in encoded],
             "oids": [oid or types.TEXT for oid in oids],
         }
         count_before = len(store.writes)
@@ -158,7 +161,7 @@
             key=key,
             applied=is_applied,
             sql=sql[:JOURNAL_SQL_CHARACTERS],
-            values=texts[:JOURNAL_VALUES],
+            values=[shortened(value) for value in encoded[:JOURNAL_VALUES]],
         )
         if is_applied:
             store.replicate(write)
@@ -166,7 +169,10 @@
 
 
 def _decoded(bind: pg.Bind, oids: tuple[int, ...]) -> list:
-    """The values of bound parameters."""
+    """The values of bound parameters. Raises PgError 22000 if they are too large to decode."""
+    size = sum(len(value) for value in bind.values if value is not None)
+    if size > MAX_DECODED_BYTES:
+        raise PgError(DATA_EXCEPTION, f"stand-in: {size} bytes of values, over {MAX_DECODED_BYTES}")
     codes = bind.formats * len(bind.values) if len(bind.formats) == 1 else bind.formats
     codes = codes or (0,) * len(bind.values)
     return [
--- a/tansycrank/testbed/node/journal.py
+++ b/tansycrank/testbed/node/journal.py
@@ -11,6 +11,12 @@
 
 MAX_BYTES = 64 * 1024 * 1024  # a longer journal ends the node
 EXIT_JOURNAL_FULL = 3
+MAX_VALUE_BYTES = 300  # of a value in an event
+
+
+def shortened(value: bytes | None) -> str | None:
+    """Return the start of a value of a statement, for an event."""
+    return None if value is None else value[:MAX_VALUE_BYTES].decode("utf-8", "replace")
 
 
 class JournalSession(Protocol):
--- a/tansycrank/testbed/node/session.py
+++ b/tansycrank/testbed/node/session.py
@@ -10,6 +10,7 @@
 from tansycrank.postgres.errors import PgError, cancelled
 from tansycrank.sql.planner import split_leading_comment
 from tansycrank.testbed.node.batch import answer
+from tansycrank.testbed.node.journal import shortened
 from tansycrank.testbed.node.node import Node
 from tansycrank.testbed.process import reactor
 from tansycrank.testbed.reference_model import Job
@@ -163,16 +164,13 @@
 
     def _record_statement(self, batch: list, sql: str, is_executed: bool) -> None:
         values = [
-            value.decode("utf-8", "replace") if value is not None else None
-            for message in batch
-            if isinstance(message, pg.Bind)
-            for value in message.values
+            value for message in batch if isinstance(message, pg.Bind) for value in message.values
         ]
         self.node.journal.record(
             "stmt" if is_executed else "describe",
             self,
             sql=sql[:JOURNAL_SQL_CHARACTERS],
-            values=values[:JOURNAL_VALUES],
+            values=[shortened(value) for value in values[:JOURNAL_VALUES]],
         )
 
     def _finish(self, batch: list) -> None:
--- a/tests/fuzz/test_fuzz.py
+++ b/tests/fuzz/test_fuzz.py
@@ -4,10 +4,16 @@
 clients for more than a second, or makes it serve a wrong value.
 """
 
+import time
+from types import SimpleNamespace
+
+import psycopg
 import pytest
 
+from tansycrank.postgres import messages as pg
+from tansycrank.postgres.errors import QUERY_REJECTED
 from tansycrank.testbed.fuzz.inputs import SPOILINGS, Input, Target
-from tansycrank.testbed.fuzz.oracles import Watch, judge
+from tansycrank.testbed.fuzz.oracles import MAX_WAIT_SECONDS, Watch, judge
 from tansycrank.testbed.fuzz.parameter_inputs import (
     BINARY,
     TEXT,
@@ -17,7 +23,9 @@
 )
 from tansycrank.testbed.fuzz.platform_site import PlatformSite
 from tansycrank.testbed.fuzz.run import fuzz, play_input
-from tansycrank.testbed.fuzz.sql_site import SqlSite
+from tansycrank.testbed.fuzz.sql_site import SqlSite, ask_until_answered
+from tansycrank.testbed.node.journal import Journal
+from tansycrank.testbed.node.session import NodeSession
 
 SEED = 1
 SECONDS = 20.0
@@ -136,6 +144,38 @@
     assert report.inputs > 20
 
 
+def test_a_large_parameter_many_times_ends_no_stand_in(tmp_path, monkeypatch):
+    """Guards against a journal that its bound ends, so that no client is served any more."""
+    monkeypatch.setattr("os._exit", lambda status: pytest.fail(f"ended with status {status}"))
+    journal = Journal(str(tmp_path / "journal"), 1, time.monotonic)
+    session = NodeSession(SimpleNamespace(journal=journal))
+    bind = pg.Bind("", "", (BINARY,), (PARAMETERS["empty texts"].value,), ())
+    for _ in range(10):
+        session._record_statement([bind], "SELECT name FROM drivers WHERE name = $1", True)
+    assert (tmp_path / "journal").stat().st_size < 100_000
+
+
+class Rejection(psycopg.Error):
+    """A rejection that names a time."""
+
+    sqlstate = QUERY_REJECTED
+    diag = SimpleNamespace(message_detail="retry_after_ms=300 reason=module corrected=0")
+
+
+def test_a_usual_client_that_is_rejected_again_and_again_is_a_problem():
+    """Guards against usual clients that are only ever told to come back."""
+    asked_at = []
+
+    def reject(*_):
+        asked_at.append(time.monotonic())
+        raise Rejection
+
+    with pytest.raises(Rejection):
+        ask_until_answered(SimpleNamespace(execute=reject), 1)
+    assert len(asked_at) == 4
+    assert asked_at[-1] - asked_at[0] < MAX_WAIT_SECONDS
+
+
 class Process:
     """A process that has ended."""
 
@@ -160,5 +200,8 @@
     usual = [Usual(Watch(longest=1.5)), Usual(Watch(problems=["ValueError: wrong"]))]
     verdict = judge(Process(), usual, "nothing in time", SqlSite.is_expected)
     assert len(verdict.problems) == 4, verdict
+    assert judge(Process(), [], "rows", SqlSite.is_expected, ["data node 1"]).problems[0] == (
+        "data node 1 has ended"
+    )
     assert SqlSite.is_expected("54000") and not SqlSite.is_expected("XX000")
     assert PlatformSite.is_expected("504") and not PlatformSite.is_expected("wrong: 1")
