--- a/tansycrank/sql_router/result_check.py
+++ b/tansycrank/sql_router/result_check.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import re
-from collections import Counter
+from collections import defaultdict
 from enum import Enum, auto
 
 from tansycrank.merge.blocks import ShardRowStream
@@ -39,7 +39,7 @@
 
     def __init__(self, request: ShardStatement) -> None:
         self._expected = _expected_result(request)
-        self._messages: Counter[int] = Counter()
+        self._messages: defaultdict[int, int] = defaultdict(int)  # by type
 
     def add(self, kind: int) -> None:
         """Count a message of this type."""
