Discovery: an exception of one line ends its connection, and no more

Found by reading: lines that wait for a later turn are handled in a delayed call. An exception there left the connection paused, with nothing to resume or end it but the silence of the feed; before lines were paced, an exception in dataReceived closed it. At the end of a connection an exception of its last lines kept the source from hearing of the end. Now the connection is aborted, and its end is told in any case. The test failed before (the connection stayed paused); the two ends have no test of their own.

--- a/tansycrank/discovery/feed_client.py
+++ b/tansycrank/discovery/feed_client.py
@@ -79,11 +79,13 @@
 
     def connectionLost(self, reason=None) -> None:
         """Notify the view, unless it closed the connection itself."""
-        self.lines.handle_all()
-        self.lines.close()
-        if self.feed.protocol is self:
-            self.feed.protocol = None
-            self.feed.handle(ConnectionLost())
+        try:
+            self.lines.handle_all()
+        finally:
+            self.lines.close()
+            if self.feed.protocol is self:
+                self.feed.protocol = None
+                self.feed.handle(ConnectionLost())
 
 
 class _FeedFactory(ClientFactory):
--- a/tansycrank/http_router/discovery_exchange.py
+++ b/tansycrank/http_router/discovery_exchange.py
@@ -94,10 +94,12 @@
 
     def connectionLost(self, reason=connectionDone) -> None:
         """End the exchange; a body without a length is complete only after an orderly close."""
-        self.lines.handle_all()
-        if not self._has_body_length and reason.check(ConnectionDone):
-            self.on_message_complete()
-        self.end(False)
+        try:
+            self.lines.handle_all()
+            if not self._has_body_length and reason.check(ConnectionDone):
+                self.on_message_complete()
+        finally:
+            self.end(False)
 
     def end(self, succeeded: bool) -> None:
         """End the exchange and notify the listener, unless it has already ended."""
--- a/tansycrank/paced_lines.py
+++ b/tansycrank/paced_lines.py
@@ -70,6 +70,11 @@
 
     def _continue(self, transport) -> None:
         self._continuation = None
-        self.handle_for_turn(transport)
+        try:
+            self.handle_for_turn(transport)
+        except Exception:  # as for an exception in `dataReceived`; else the pause has no end
+            self.close()
+            transport.abortConnection()
+            raise
         if not self._waiting:
             transport.resumeProducing()
--- a/tests/test_paced_lines.py
+++ b/tests/test_paced_lines.py
@@ -225,3 +225,20 @@
     client.reactor.advance(1.5)
     protocol.dataReceived(b"no json\n")
     assert client.log.lines[-1]["left_out"] == 10_000 - endpoint_source.MAX_PROBLEMS_PER_SECOND
+
+
+def test_a_line_that_raises_in_a_later_turn_ends_its_connection():
+    """Guards against a feed that stays paused for good after an exception of one line."""
+    lines = SlowLines()
+    lines.paced.feed(b"\n" * 5)
+    lines.paced.handle_for_turn(lines.transport)
+    assert lines.transport.producerState == "paused"
+
+    def fail(line):
+        raise ValueError(line)
+
+    lines.paced._handle = fail
+    with pytest.raises(ValueError):
+        run_turn(lines.reactor)
+    assert lines.transport.disconnected or lines.transport.disconnecting
+    assert not lines.paced.has_waiting
